--- /dev/null
+++ b/packages/common/src/log-events/gateway.ts
@@ -0,0 +1,65 @@
+import type {LogEvent} from './types.js';
+
+/** Events 1000 to 1099: hosts that forward requests as they are. */
+export const GATEWAY_EVENTS = {
+  gatewayStarted: {number: 1000, level: 'info', message: 'gateway started'},
+  gatewayStopping: {number: 1001, level: 'info', message: 'gateway stops'},
+  gatewayStopped: {number: 1002, level: 'info', message: 'gateway stopped'},
+  settingsReloaded: {number: 1003, level: 'info', message: 'settings reloaded'},
+  readinessChanged: {
+    number: 1004,
+    level: 'info',
+    message: 'readiness changed',
+  },
+  requestServed: {number: 1010, level: 'info', message: 'request served'},
+  requestNotServed: {
+    number: 1011,
+    level: 'info',
+    message: 'request not served',
+  },
+  requestResent: {
+    number: 1012,
+    level: 'info',
+    message: 'request sent to another endpoint',
+  },
+  pathChosen: {number: 1013, level: 'info', message: 'pipeline path chosen'},
+  pathChanged: {
+    number: 1014,
+    level: 'info',
+    message: 'pipeline path changed in mid-stream',
+  },
+  callerLeft: {number: 1015, level: 'info', message: 'caller left'},
+  storeLost: {number: 1020, level: 'warn', message: 'store unavailable'},
+  storeRegained: {number: 1021, level: 'info', message: 'store available'},
+  feedHistoryLost: {
+    number: 1022,
+    level: 'warn',
+    message: 'store dropped its history, listing again',
+  },
+  configAdopted: {
+    number: 1023,
+    level: 'info',
+    message: 'routing configuration adopted',
+  },
+  objectUnreadable: {
+    number: 1024,
+    level: 'warn',
+    message: 'object of the store ignored',
+  },
+  endpointChanged: {
+    number: 1030,
+    level: 'info',
+    message: 'endpoint registered or changed',
+  },
+  endpointGone: {number: 1031, level: 'info', message: 'endpoint is gone'},
+  endpointSuspected: {
+    number: 1032,
+    level: 'warn',
+    message: 'endpoint suspected to be down',
+  },
+  linesDropped: {
+    number: 1040,
+    level: 'warn',
+    message: 'log lines dropped, over the volume limit',
+  },
+} as const satisfies Record<string, LogEvent>;
--- a/packages/common/src/log-events/index.ts
+++ b/packages/common/src/log-events/index.ts
@@ -1,4 +1,5 @@
 import {DAEMON_EVENTS} from './daemon.js';
+import {GATEWAY_EVENTS} from './gateway.js';
 import {LEDGER_EVENTS} from './ledger.js';
 import {LIMITS_EVENTS} from './limits.js';
 import {LISTS_EVENTS} from './lists.js';
@@ -6,6 +7,7 @@
 import {OPERATORS_EVENTS} from './operators.js';
 import {ORDERS_EVENTS} from './orders.js';
 import {PIPELINE_EVENTS} from './pipeline.js';
+import {PLACEMENT_EVENTS} from './placement.js';
 import {PLATFORM_EVENTS} from './platform.js';
 import {ROUTES_EVENTS} from './routes.js';
 
@@ -23,6 +25,8 @@
   ...LIMITS_EVENTS,
   ...ROUTES_EVENTS,
   ...ORDERS_EVENTS,
+  ...GATEWAY_EVENTS,
+  ...PLACEMENT_EVENTS,
 };
 
 export type LogEventName = keyof typeof LOG_EVENTS;
--- a/packages/common/test/catalogue.test.ts
+++ b/packages/common/test/catalogue.test.ts
@@ -4,6 +4,7 @@
 import {STATUS_CODES} from 'node:http';
 import {test} from 'node:test';
 import {DAEMON_EVENTS} from '../src/log-events/daemon.js';
+import {GATEWAY_EVENTS} from '../src/log-events/gateway.js';
 import {LEDGER_EVENTS} from '../src/log-events/ledger.js';
 import {LIMITS_EVENTS} from '../src/log-events/limits.js';
 import {LISTS_EVENTS} from '../src/log-events/lists.js';
@@ -11,6 +12,7 @@
 import {OPERATORS_EVENTS} from '../src/log-events/operators.js';
 import {ORDERS_EVENTS} from '../src/log-events/orders.js';
 import {PIPELINE_EVENTS} from '../src/log-events/pipeline.js';
+import {PLACEMENT_EVENTS} from '../src/log-events/placement.js';
 import {PLATFORM_EVENTS} from '../src/log-events/platform.js';
 import {ROUTES_EVENTS} from '../src/log-events/routes.js';
 import {ERROR_ANSWERS, LOG_EVENTS, type LogEvent} from '../src/index.js';
@@ -31,6 +33,8 @@
   {from: 700, to: 800, events: LIMITS_EVENTS},
   {from: 800, to: 900, events: ROUTES_EVENTS},
   {from: 900, to: 1000, events: ORDERS_EVENTS},
+  {from: 1000, to: 1100, events: GATEWAY_EVENTS},
+  {from: 1100, to: 1200, events: PLACEMENT_EVENTS},
 ];
 
 test('log events: each number is in the range of its area', () => {
--- /dev/null
+++ b/packages/gateway/src/answers.ts
@@ -0,0 +1,58 @@
+import {ERROR_ANSWERS, type Failure} from '@chivewick/common';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Headers} from './types.js';
+
+/** Headers of one connection, which are not passed on (RFC 9110, 7.6.1). */
+const CONNECTION_HEADERS = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'transfer-encoding',
+  'te',
+  'trailer',
+  'upgrade',
+]);
+
+/**
+ * Answers a request with a failure of this host's own.
+ *
+ * @example
+ * answerFailure(res, failure('overloaded', 'no path has room', {retryAfterMs: 500}));
+ */
+export function answerFailure(res: ServerResponse, err: Failure): void {
+  if (res.headersSent || res.destroyed) return;
+  const {status} = ERROR_ANSWERS[err.kind];
+  const body = JSON.stringify({
+    error: {kind: err.kind, message: err.message, ran: err.ran},
+  });
+  res.statusCode = status;
+  res.setHeader('content-type', 'application/json');
+  res.setHeader('content-length', Buffer.byteLength(body));
+  if (err.retryAfterMs !== undefined) {
+    res.setHeader('retry-after', (err.retryAfterMs / 1_000).toFixed(2));
+  }
+  // The rest of a body that was not read would be taken for the next request.
+  if (!(res.req as IncomingMessage).complete) {
+    res.setHeader('connection', 'close');
+  }
+  res.end(body);
+}
+
+/**
+ * Starts an answer with an endpoint's status and headers.
+ *
+ * @example
+ * startAnswer(res, 200, headers);
+ */
+export function startAnswer(
+  res: ServerResponse,
+  status: number,
+  headers: Headers,
+): void {
+  res.statusCode = status;
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || CONNECTION_HEADERS.has(name)) continue;
+    if (name === 'content-length') continue;
+    res.setHeader(name, value);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/event-splitter.ts
@@ -0,0 +1,63 @@
+/** One event of a stream, as the bytes that the endpoint sent. */
+export interface StreamEvent {
+  /** Undefined for an event without a numeric id. */
+  readonly id?: number;
+  readonly bytes: Buffer;
+}
+
+const LF = 10;
+const EMPTY = Buffer.alloc(0);
+
+/** Cuts an event stream into whole events. */
+export interface EventSplitter {
+  push(chunk: Buffer): StreamEvent[];
+  /** Bytes of an event that has not ended. */
+  rest(): Buffer;
+}
+
+/**
+ * Creates a splitter. Only whole events may be passed on: an endpoint may break
+ * off inside one, and the stream then continues from another endpoint.
+ *
+ * @example
+ * for (const event of splitter.push(chunk)) res.write(event.bytes);
+ */
+export function createEventSplitter(): EventSplitter {
+  let pending: Buffer = EMPTY;
+  return {
+    push(chunk) {
+      const bytes =
+        pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+      const events: StreamEvent[] = [];
+      let start = 0;
+      for (;;) {
+        const end = endOfEvent(bytes, start);
+        if (end < 0) break;
+        const event = bytes.subarray(start, end);
+        events.push({id: idOf(event), bytes: event});
+        start = end;
+      }
+      pending = start === 0 ? bytes : Buffer.from(bytes.subarray(start));
+      return events;
+    },
+    rest: () => pending,
+  };
+}
+
+/** Index after the empty line that ends an event; -1 while there is none. */
+function endOfEvent(bytes: Buffer, start: number): number {
+  for (
+    let index = bytes.indexOf(LF, start);
+    index >= 0;
+    index = bytes.indexOf(LF, index + 1)
+  ) {
+    if (bytes[index + 1] === LF) return index + 2;
+    if (bytes[index + 1] === 13 && bytes[index + 2] === LF) return index + 3;
+  }
+  return -1;
+}
+
+function idOf(event: Buffer): number | undefined {
+  const match = /^id: ?(\d+)\r?$/m.exec(event.toString('latin1'));
+  return match === null ? undefined : Number(match[1]);
+}
--- /dev/null
+++ b/packages/gateway/src/exchange.ts
@@ -0,0 +1,54 @@
+import type {Failure, Logger, Random, RequestId} from '@chivewick/common';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {EndpointTable} from './endpoint-table.js';
+import type {GatewayMetrics} from './metrics.js';
+import type {RetryAllowance} from './retry-allowance.js';
+import type {
+  Dialect,
+  EngineControl,
+  RequestFacts,
+  RouteRule,
+  ServiceRule,
+  Workspace,
+} from './types.js';
+import type {Upstream} from './upstream.js';
+
+/** A caller's request that is admitted and read, on its way to an endpoint. */
+export interface Exchange {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly requestId: RequestId;
+  readonly facts: RequestFacts;
+  readonly rule: RouteRule;
+  readonly service: ServiceRule;
+  readonly workspace?: Workspace;
+  readonly body?: Buffer;
+  readonly configVersion: number;
+  /** All three by `performance.now()`. */
+  readonly arrivedMs: number;
+  readonly deadlineAtMs: number;
+}
+
+/** What exchanges share. */
+export interface ExchangeParts {
+  readonly dialect: Dialect;
+  readonly upstream: Upstream;
+  readonly table: EndpointTable;
+  readonly allowance: RetryAllowance;
+  readonly control: EngineControl;
+  readonly metrics: GatewayMetrics;
+  readonly random: Random;
+  readonly log: Logger;
+  /** Hosts that share the endpoints. */
+  hosts(): number;
+  /** Newest fencing number that this host knows. */
+  fence(): number | undefined;
+}
+
+/** How an exchange ended. */
+export type Ending =
+  | {readonly kind: 'served'; readonly status: number; readonly sends: number}
+  | {readonly kind: 'caller_left'; readonly sends: number}
+  | {readonly kind: 'failed'; readonly err: Failure; readonly sends: number}
+  /** The answer had begun, so its connection was closed. */
+  | {readonly kind: 'broken_off'; readonly err: Failure; readonly sends: number};
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,257 @@
+import {
+  createRandom,
+  type HostId,
+  type Logger,
+} from '@chivewick/common';
+import type {ObjectFeed, StoredObject} from '@chivewick/platform';
+import {createServer, type Server} from 'node:http';
+import {createEndpointTable, type EndpointTable} from './endpoint-table.js';
+import type {ExchangeParts} from './exchange.js';
+import {followKind} from './follow-kind.js';
+import {createFreshness} from './freshness.js';
+import {createRequestHandler} from './handle-request.js';
+import {createGatewayMetrics} from './metrics.js';
+import {createRetryAllowance} from './retry-allowance.js';
+import {createRouting, type Routing} from './routing.js';
+import type {
+  CallerLimits,
+  Dialect,
+  EndpointRecord,
+  EngineControl,
+  HostBounds,
+  RoutingConfig,
+} from './types.js';
+import {createUpstream} from './upstream.js';
+
+/**
+ * Length of a poll for the configuration. Each answer confirms the keys, which
+ * must not be used longer than the revocation bound (5 s) after the last one;
+ * two polls in a row may fail within it.
+ */
+const CONFIG_POLL_MS = 2_000;
+/** Length of a poll for endpoints; a cut is noticed by the other poll. */
+const ENDPOINT_POLL_MS = 10_000;
+/** Changes of endpoints gathered into one answer; well under the drain bound. */
+const GATHER_MS = 150;
+/** Before the first configuration says what callers may send. */
+const FIRST_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+/** The balancer takes a host out after two checks a second apart. */
+const LEAVE_ROTATION_MS = 2_500;
+/** Time that the end of the process takes, off the time before it is forced. */
+const END_MARGIN_MS = 500;
+const STOP_STEP_MS = 50;
+
+/** `ip:port` pairs that a gateway listens on. */
+export interface GatewayAddresses {
+  readonly callers: string;
+  readonly readiness: string;
+  readonly metrics?: string;
+}
+
+export interface GatewayOptions {
+  readonly host: HostId;
+  readonly addresses: GatewayAddresses;
+  readonly bounds: () => HostBounds;
+  readonly feed: ObjectFeed;
+  readonly dialect: Dialect;
+  readonly control: EngineControl;
+  readonly log: Logger;
+  /** Kinds of the store's objects. */
+  readonly kinds: {readonly config: string; readonly endpoints: string};
+  /** Undefined, with a line in the log, for an object that cannot be read. */
+  readonly readConfig: (object: StoredObject) => RoutingConfig | undefined;
+  readonly readEndpoint: (object: StoredObject) => EndpointRecord | undefined;
+  /** Hosts that share the endpoints. */
+  readonly hosts: () => number;
+  readonly fence: () => number | undefined;
+}
+
+/** A host that forwards callers' requests as they are. */
+export interface Gateway {
+  readonly table: EndpointTable;
+  config(): RoutingConfig | undefined;
+  /** Lets requests in progress end, then closes everything. */
+  stop(): Promise<void>;
+}
+
+/**
+ * Starts a gateway: follows the configuration and the endpoints in the store and
+ * serves callers.
+ *
+ * @example
+ * const gateway = await startGateway({host, addresses, bounds, feed, dialect, control, log, ...});
+ */
+export async function startGateway(options: GatewayOptions): Promise<Gateway> {
+  const {log, feed, kinds} = options;
+  const table = createEndpointTable(log);
+  const freshness = createFreshness();
+  const metrics = createGatewayMetrics();
+  const closing = new AbortController();
+  const upstream = createUpstream();
+  let routing: Routing | undefined;
+  let configObjectVersion = 0;
+  let stopping = false;
+  let running = 0;
+
+  const bounds = options.bounds();
+  const parts: ExchangeParts = {
+    dialect: options.dialect,
+    upstream,
+    table,
+    allowance: createRetryAllowance({
+      ratio: bounds.retryRatio,
+      extra: bounds.retryExtra,
+      windowMs: bounds.retryWindowMs,
+      hosts: options.hosts,
+    }),
+    control: options.control,
+    metrics,
+    random: createRandom(),
+    log,
+    hosts: options.hosts,
+    fence: options.fence,
+  };
+
+  const configFollower = followKind({
+    kind: kinds.config,
+    feed,
+    log,
+    signal: closing.signal,
+    waitMs: CONFIG_POLL_MS,
+    gatherMs: 0,
+    onListing: objects => objects.forEach(adoptConfig),
+    onChanges: changes =>
+      changes.forEach(change => {
+        if (change.value !== undefined) adoptConfig(change as StoredObject);
+      }),
+    onPoll: () => freshness.poll(),
+  });
+  followKind({
+    kind: kinds.endpoints,
+    feed,
+    log,
+    signal: closing.signal,
+    waitMs: ENDPOINT_POLL_MS,
+    gatherMs: GATHER_MS,
+    onListing: objects => table.replaceAll(objects.flatMap(readEndpoint)),
+    onChanges: changes => {
+      for (const change of changes) {
+        if (change.value === undefined) table.remove(idOf(change.key));
+        else readEndpoint(change as StoredObject).forEach(table.upsert);
+      }
+    },
+    onUnavailable: () => table.storeUnavailable(),
+  });
+
+  const handle = createRequestHandler({
+    parts,
+    freshness,
+    bounds: options.bounds,
+    routing: () => routing,
+    confirm: () => configFollower.refresh(),
+    stopping: () => stopping,
+  });
+  const callers = createServer(
+    {
+      maxHeaderSize: FIRST_LIMITS.maxHeaderBytes,
+      keepAliveTimeout: FIRST_LIMITS.idleTimeoutMs,
+      headersTimeout: FIRST_LIMITS.headerTimeoutMs,
+      noDelay: true,
+    },
+    (req, res) => {
+      running += 1;
+      res.once('close', () => (running -= 1));
+      handle(req, res).catch((err: unknown) => {
+        log.event('requestNotServed', {error: 'internal', message: String(err)});
+        res.destroy();
+      });
+    },
+  );
+  const readiness = createServer((_req, res) => {
+    res.statusCode = isReady() ? 200 : 503;
+    res.end();
+  });
+  const servers = [callers, readiness];
+  await listen(callers, options.addresses.callers);
+  await listen(readiness, options.addresses.readiness);
+  if (options.addresses.metrics !== undefined) {
+    const metricsServer = createServer((_req, res) => {
+      void metrics.registry.metrics().then(text => res.end(text));
+    });
+    servers.push(metricsServer);
+    await listen(metricsServer, options.addresses.metrics);
+  }
+  log.event('gatewayStarted', {host: options.host, ...options.addresses});
+
+  function isReady(): boolean {
+    return !stopping && routing !== undefined && hasEndpoints(routing);
+  }
+
+  function hasEndpoints({config}: Routing): boolean {
+    for (const service of config.services.keys())
+      if (table.usable(service).length > 0) return true;
+    return false;
+  }
+
+  function readEndpoint(object: StoredObject): EndpointRecord[] {
+    const record = options.readEndpoint(object);
+    return record === undefined ? [] : [record];
+  }
+
+  function adoptConfig(object: StoredObject): void {
+    if (object.version <= configObjectVersion) return;
+    const config = options.readConfig(object);
+    if (config === undefined) return;
+    configObjectVersion = object.version;
+    routing = createRouting(config);
+    callers.keepAliveTimeout = config.limits.idleTimeoutMs;
+    callers.headersTimeout = config.limits.headerTimeoutMs;
+    log.event('configAdopted', {
+      configVersion: config.version,
+      storeVersion: object.version,
+      routes: config.routes.length,
+      keys: config.workspaceOfKey?.size,
+    });
+  }
+
+  async function stop(): Promise<void> {
+    if (stopping) return;
+    stopping = true;
+    const startMs = performance.now();
+    const elapsedMs = () => performance.now() - startMs;
+    log.event('gatewayStopping', {running});
+    const {graceMs} = options.bounds();
+    const step = () => new Promise(done => setTimeout(done, STOP_STEP_MS));
+    while (elapsedMs() < LEAVE_ROTATION_MS) await step();
+    callers.close();
+    callers.closeIdleConnections();
+    while (running > 0 && elapsedMs() < graceMs - END_MARGIN_MS) await step();
+    log.event('gatewayStopped', {
+      running,
+      elapsedMs: Math.round(elapsedMs()),
+    });
+    closing.abort();
+    for (const server of servers) server.closeAllConnections();
+    await upstream.close();
+  }
+
+  return {table, config: () => routing?.config, stop};
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const [ip, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(port), ip, 511, resolve);
+  });
+}
+
+function idOf(key: string): EndpointRecord['id'] {
+  return key.slice(key.lastIndexOf('/') + 1) as EndpointRecord['id'];
+}
+
--- /dev/null
+++ b/packages/gateway/src/handle-request.ts
@@ -0,0 +1,221 @@
+import {
+  failure,
+  id,
+  pause,
+  type Failure,
+  type RequestId,
+} from '@chivewick/common';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {answerFailure} from './answers.js';
+import type {Ending, Exchange, ExchangeParts} from './exchange.js';
+import type {Freshness} from './freshness.js';
+import {readBody} from './read-body.js';
+import {pickTarget, type Routing} from './routing.js';
+import {servePlain} from './serve-plain.js';
+import {serveStream} from './serve-stream.js';
+import type {
+  HostBounds,
+  RequestFacts,
+  RouteRule,
+  ServiceRule,
+  Workspace,
+} from './types.js';
+
+/** Taken off the age up to which rights are used, for the clocks' rates. */
+const AGE_MARGIN_MS = 200;
+/** A first confirmation after a standstill takes one call to the store. */
+const CONFIRM_WAIT_MS = 250;
+const CONFIRM_STEP_MS = 25;
+/**
+ * Unknown routes and keys are refused for good only by hosts whose configuration
+ * is not older than this; others may have missed them.
+ */
+const KNOWN_AGE_MS = 3_000;
+const RETRY_AFTER_MS = 1_000;
+
+/** What the handler of requests needs besides the parts of exchanges. */
+export interface HandlerOptions {
+  readonly parts: ExchangeParts;
+  readonly freshness: Freshness;
+  readonly bounds: () => HostBounds;
+  readonly routing: () => Routing | undefined;
+  /** Asks for a confirmation of the configuration now. */
+  readonly confirm: () => void;
+  /** Whether the host is stopping, so that callers should leave. */
+  readonly stopping: () => boolean;
+}
+
+interface Admitted {
+  readonly rule: RouteRule;
+  readonly service: ServiceRule;
+  readonly workspace?: Workspace;
+  readonly configVersion: number;
+}
+
+type Admission =
+  | {readonly ok: true; readonly value: Admitted}
+  | {readonly ok: false; readonly err: Failure};
+
+/**
+ * Creates the handler of callers' requests: finds the route, checks the key,
+ * reads the body and serves the request to its end.
+ */
+export function createRequestHandler(
+  options: HandlerOptions,
+): (req: IncomingMessage, res: ServerResponse) => Promise<void> {
+  const {parts} = options;
+
+  return async (req, res) => {
+    const arrivedMs = performance.now();
+    const facts = parts.dialect.readRequest(req.headers);
+    if (options.stopping()) res.setHeader('connection', 'close');
+    const admission = await admit(options, req, facts);
+    if (!admission.ok) return refuse(req, res, facts, admission.err, arrivedMs);
+    const admitted = admission.value;
+    const {limits} = options.routing()!.config;
+    const body = await readBody(req, limits.maxBodyBytes);
+    if (body.kind === 'aborted') return;
+    if (body.kind === 'too_large') {
+      const err = failure('body_too_large', `over ${limits.maxBodyBytes} bytes`);
+      return refuse(req, res, facts, err, arrivedMs);
+    }
+    if (facts.requestId === undefined) {
+      const err = failure('invalid_request', 'the request has no id');
+      return refuse(req, res, facts, err, arrivedMs);
+    }
+    const {rule, service} = admitted;
+    const timeMs = Math.min(rule.timeoutMs, facts.deadlineMs ?? rule.timeoutMs);
+    const exchange: Exchange = {
+      req,
+      res,
+      requestId: id<RequestId>(facts.requestId),
+      facts,
+      ...admitted,
+      body: body.bytes,
+      arrivedMs,
+      deadlineAtMs: arrivedMs + timeMs,
+    };
+    parts.allowance.requested(service.name);
+    const ending =
+      service.engine === undefined
+        ? await servePlain(exchange, parts)
+        : await serveStream(exchange, parts, service.engine);
+    conclude(exchange, ending);
+  };
+
+  function conclude(exchange: Exchange, ending: Ending): void {
+    const {res, requestId, rule, workspace, service} = exchange;
+    parts.metrics.requests.inc({kind: rule.kind, outcome: ending.kind});
+    const fields = {
+      requestId,
+      route: rule.name,
+      service: service.name,
+      workspace: workspace?.id,
+      configVersion: exchange.configVersion,
+      sends: ending.sends,
+      elapsedMs: Math.round(performance.now() - exchange.arrivedMs),
+    };
+    if (ending.kind === 'served') {
+      return parts.log.event('requestServed', {...fields, status: ending.status});
+    }
+    if (ending.kind === 'caller_left') {
+      return parts.log.event('callerLeft', fields);
+    }
+    if (ending.kind === 'failed') answerFailure(res, ending.err);
+    const {kind, message, ran} = ending.err;
+    parts.log.event('requestNotServed', {
+      ...fields,
+      ending: ending.kind,
+      error: kind,
+      message,
+      ran,
+    });
+  }
+
+  function refuse(
+    req: IncomingMessage,
+    res: ServerResponse,
+    facts: RequestFacts,
+    err: Failure,
+    arrivedMs: number,
+  ): void {
+    parts.metrics.requests.inc({kind: 'none', outcome: err.kind});
+    parts.log.event('requestNotServed', {
+      requestId: facts.requestId,
+      error: err.kind,
+      message: err.message,
+      configVersion: options.routing()?.config.version,
+      configAgeMs: Math.round(options.freshness.ageMs()),
+      elapsedMs: Math.round(performance.now() - arrivedMs),
+    });
+    answerFailure(res, err);
+    req.resume();
+  }
+}
+
+/** Finds the route and the workspace of a request, and a service for it. */
+async function admit(
+  options: HandlerOptions,
+  req: IncomingMessage,
+  facts: RequestFacts,
+): Promise<Admission> {
+  if (options.routing() === undefined) {
+    return refusal('platform_unavailable', 'no configuration yet');
+  }
+  const {strictRevocation, revokeMs} = options.bounds();
+  const oldestMs = revokeMs - AGE_MARGIN_MS;
+  const host = req.headers.host ?? '';
+  const path = req.url ?? '/';
+  if (strictRevocation && options.freshness.ageMs() > oldestMs) {
+    const rule = options.routing()!.match(host, path);
+    if (rule?.open !== true && !(await confirmed(options, oldestMs))) {
+      return refusal(
+        'rights_unconfirmed',
+        'the store has not confirmed the keys in time',
+      );
+    }
+  }
+  const {config, match} = options.routing()!;
+  const rule = match(host, path);
+  const isCurrent = options.freshness.ageMs() <= KNOWN_AGE_MS;
+  if (rule === undefined) {
+    return isCurrent
+      ? refusal('not_found', 'no route matches')
+      : refusal('platform_unavailable', 'no route in an old configuration');
+  }
+  let workspace: Workspace | undefined;
+  if (!rule.open && config.workspaceOfKey !== undefined) {
+    workspace = config.workspaceOfKey.get(facts.key ?? '');
+    if (workspace === undefined) {
+      return isCurrent || facts.key === undefined
+        ? refusal('unauthenticated', 'unknown key')
+        : refusal('platform_unavailable', 'no such key in an old configuration');
+    }
+  }
+  const name = pickTarget(rule.targets, options.parts.random.next());
+  const service = name && config.services.get(name);
+  if (!service) return refusal('no_route', 'the route has no service');
+  const value = {rule, service, workspace, configVersion: config.version};
+  return {ok: true, value};
+}
+
+function refusal(kind: Failure['kind'], message: string): Admission {
+  const retryAfterMs =
+    kind === 'not_found' || kind === 'unauthenticated'
+      ? undefined
+      : RETRY_AFTER_MS;
+  return {ok: false, err: failure(kind, message, {retryAfterMs})};
+}
+
+/** Waits shortly for a confirmation, as after a standstill of the process. */
+async function confirmed(
+  options: HandlerOptions,
+  oldestMs: number,
+): Promise<boolean> {
+  options.confirm();
+  for (let waitedMs = 0; waitedMs < CONFIRM_WAIT_MS; waitedMs += CONFIRM_STEP_MS) {
+    await pause(CONFIRM_STEP_MS);
+    if (options.freshness.ageMs() <= oldestMs) return true;
+  }
+  return false;
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,13 @@
+export * from './choose-endpoint.js';
+export * from './choose-path.js';
+export * from './endpoint-table.js';
+export * from './event-splitter.js';
+export * from './follow-kind.js';
+export * from './fleet-size.js';
+export * from './freshness.js';
+export * from './gateway.js';
+export * from './repair-path.js';
+export * from './retry-allowance.js';
+export * from './routing.js';
+export * from './stall.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,51 @@
+import {Counter, Histogram, Registry} from 'prom-client';
+
+/** Around the goals of the deployments: 100 ms for calls, 500 ms for streams. */
+const LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.5, 1, 2.5, 10, 20];
+
+/** Counters and histograms of a gateway; see docs/OPERATIONS.md. */
+export interface GatewayMetrics {
+  readonly registry: Registry;
+  readonly requests: Counter<'kind' | 'outcome'>;
+  readonly firstByte: Histogram<'kind'>;
+  readonly resent: Counter<'reason'>;
+  readonly suspected: Counter;
+}
+
+/**
+ * Creates the metrics in a registry of their own.
+ *
+ * @example
+ * metrics.requests.inc({kind: 'stream', outcome: 'served'});
+ */
+export function createGatewayMetrics(): GatewayMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  return {
+    registry,
+    requests: new Counter({
+      name: 'chivewick_gateway_requests_total',
+      help: 'Requests of callers, by kind and outcome.',
+      labelNames: ['kind', 'outcome'],
+      registers,
+    }),
+    firstByte: new Histogram({
+      name: 'chivewick_gateway_first_byte_seconds',
+      help: 'Time from a request to the first byte of its answer.',
+      labelNames: ['kind'],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    }),
+    resent: new Counter({
+      name: 'chivewick_gateway_resent_total',
+      help: 'Requests sent to another endpoint, by reason.',
+      labelNames: ['reason'],
+      registers,
+    }),
+    suspected: new Counter({
+      name: 'chivewick_gateway_suspected_total',
+      help: 'Endpoints suspected to be down.',
+      registers,
+    }),
+  };
+}
--- a/packages/orders/src/lease.ts
+++ b/packages/orders/src/lease.ts
@@ -1,6 +1,6 @@
 /** The lease `orders/lease`, whose holder alone sends orders. */
 import type {HostId, Logger} from '@chivewick/common';
-import type {ExpectedVersion, ObjectApi} from '@chivewick/platform';
+import type {ExpectedVersion, ObjectStore} from '@chivewick/platform';
 import {randomUUID} from 'node:crypto';
 import type {LeaseValue, OrdersTiming} from './orders-api.js';
 
@@ -48,7 +48,7 @@
  */
 export function createLease(options: {
   self: HostId;
-  platform: ObjectApi;
+  platform: ObjectStore;
   log: Logger;
   timing: Timing;
   /** Highest fencing number in use elsewhere; asked when no lease exists. */
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,2 @@
+export * from './placement-duty.js';
+export * from './plan-layers.js';
--- /dev/null
+++ b/packages/placement/src/placement-duty.ts
@@ -0,0 +1,162 @@
+import {
+  pause,
+  type EndpointId,
+  type HostId,
+  type Logger,
+} from '@chivewick/common';
+import type {LayerRange} from '@chivewick/engines';
+import type {
+  EndpointState,
+  EndpointTable,
+  EngineControl,
+  RoutingConfig,
+  ServiceRule,
+} from '@chivewick/gateway';
+import {createLease} from '@chivewick/orders';
+import type {ObjectStore} from '@chivewick/platform';
+import {planLayers} from './plan-layers.js';
+
+/**
+ * Length of the lease. Placed layers serve without a holder; a lost one costs
+ * only the time until empty engines are put to use.
+ */
+const LEASE_MS = 5_000;
+const LEASE_MARGIN_MS = 500;
+const RENEW_MS = 1_500;
+/** Interval at which other hosts look whether the lease has lapsed. */
+const OBSERVE_MS = 2_500;
+/** Hosts start together; the first write makes the others' needless. */
+const FIRST_STEP_SPREAD_MS = 300;
+const TICK_MS = 300;
+/** At the start of a fleet, engines register within seconds of each other. */
+const SETTLE_MS = 700;
+/** An order is taken for lost when the engine does not show it for this long. */
+const ORDER_LOST_MS = 12_000;
+const REPORT_TIMEOUT_MS = 300;
+
+export interface PlacementOptions {
+  readonly host: HostId;
+  readonly store: ObjectStore;
+  readonly control: EngineControl;
+  readonly table: EndpointTable;
+  readonly config: () => RoutingConfig | undefined;
+  readonly log: Logger;
+  readonly signal: AbortSignal;
+  /** A number in [0, 1). */
+  readonly draw: () => number;
+}
+
+/** The duty of ordering engines to hold layers. */
+export interface PlacementDuty {
+  /** Fencing number while this host holds the lease. */
+  fence(): number | undefined;
+  /** Gives the lease up, so that another host may take it at once. */
+  release(): Promise<void>;
+}
+
+interface Ordered {
+  readonly startedAtMs: number;
+  readonly range: LayerRange;
+  readonly atMs: number;
+}
+
+/**
+ * Competes for the lease of orders and, while this host holds it, orders empty
+ * engines to hold the layers that the plan gives them.
+ *
+ * @example
+ * const duty = startPlacementDuty({host, store, control, table, config, log, signal, draw});
+ */
+export function startPlacementDuty(options: PlacementOptions): PlacementDuty {
+  const {host, store, control, table, log, signal} = options;
+  const lease = createLease({
+    self: host,
+    platform: store,
+    log,
+    timing: {leaseMs: LEASE_MS, leaseMarginMs: LEASE_MARGIN_MS},
+    highestFence: () => Promise.resolve(0),
+  });
+  const ordered = new Map<EndpointId, Ordered>();
+
+  async function keepLease(): Promise<void> {
+    await pause(options.draw() * FIRST_STEP_SPREAD_MS, signal);
+    while (!signal.aborted) {
+      await lease.step(0);
+      const isHolder = lease.fence() !== undefined;
+      await pause(isHolder ? RENEW_MS : OBSERVE_MS, signal);
+    }
+  }
+
+  async function placeLayers(): Promise<void> {
+    while (!signal.aborted) {
+      await pause(TICK_MS, signal);
+      const services = options.config()?.services.values() ?? [];
+      if (lease.fence() === undefined) continue;
+      for (const service of services)
+        if (service.engine !== undefined) await placeService(service);
+    }
+  }
+
+  async function placeService(service: ServiceRule): Promise<void> {
+    const states = table
+      .ofService(service.name)
+      .filter(state => state.record.state === 'ready');
+    const isBare = states.every(state => heldBy(state) === undefined);
+    if (isBare && table.settledMs() < SETTLE_MS) return;
+    const engines = states.map(state => ({
+      id: state.record.id,
+      failureDomain: state.record.failureDomain,
+      accelerator: state.record.accelerator,
+      layers: heldBy(state),
+    }));
+    const plan = planLayers(engines, service.engine!);
+    await Promise.all(
+      [...plan].map(([endpoint, range]) => order(endpoint, range)),
+    );
+  }
+
+  /** What an engine holds, or will hold once an order is carried out. */
+  function heldBy(state: EndpointState): LayerRange | undefined {
+    const {id, layers, startedAtMs} = state.record;
+    if (layers !== undefined) return layers;
+    const known = ordered.get(id);
+    if (known === undefined || known.startedAtMs !== startedAtMs) return;
+    if (performance.now() - known.atMs > ORDER_LOST_MS) return;
+    return known.range;
+  }
+
+  async function order(endpoint: EndpointId, range: LayerRange): Promise<void> {
+    const state = table.get(endpoint);
+    if (state === undefined) return;
+    const {address, startedAtMs} = state.record;
+    ordered.set(endpoint, {startedAtMs, range, atMs: performance.now()});
+    let {orderCount} = state.record;
+    for (let attempt = 0; attempt < 2; attempt++) {
+      const fence = lease.fence();
+      if (fence === undefined) return void ordered.delete(endpoint);
+      const outcome = await control.place({id: endpoint, address}, range, {
+        fence,
+        orderCount,
+      });
+      if (outcome.kind === 'accepted' || outcome.kind === 'done') {
+        const fields = {endpoint, ...range, fence, orderCount};
+        return log.event('layersOrdered', {...fields, outcome: outcome.kind});
+      }
+      log.event('layersOrderFailed', {endpoint, ...range, fence, ...outcome});
+      if (outcome.kind === 'fenced') {
+        lease.doubt(true);
+        return void ordered.delete(endpoint);
+      }
+      // The answer was lost: the engine may carry the order out yet.
+      if (outcome.kind === 'unknown') return;
+      const report = await control.report(address, REPORT_TIMEOUT_MS);
+      if (report === undefined || report.layers !== undefined) return;
+      orderCount = report.orderCount;
+    }
+    ordered.delete(endpoint);
+  }
+
+  void keepLease();
+  void placeLayers();
+  return {fence: () => lease.fence(), release: () => lease.release()};
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,3 +1,4 @@
 export * from './http-object-api.js';
 export type * from './object-api.js';
+export type * from './object-feed.js';
 export * from './update-object.js';
--- a/packages/platform/src/object-api.ts
+++ b/packages/platform/src/object-api.ts
@@ -51,3 +51,6 @@
     signal: AbortSignal,
   ): AsyncIterable<ObjectChange>;
 }
+
+/** The calls of the object API that leases and registrations need. */
+export type ObjectStore = Pick<ObjectApi, 'get' | 'list' | 'put'>;
--- /dev/null
+++ b/packages/platform/src/object-feed.ts
@@ -0,0 +1,38 @@
+import type {Result} from '@chivewick/common';
+import type {ObjectChange, StoredObject} from './object-api.js';
+
+/** All objects of one kind, and the store's version that they were read at. */
+export interface Listing {
+  readonly objects: readonly StoredObject[];
+  readonly version: number;
+}
+
+/** The answer to one long poll for changes. */
+export type ChangeBatch =
+  | {
+      readonly kind: 'changes';
+      /** Empty when the wait ended without a change. */
+      readonly changes: readonly ObjectChange[];
+      /** Version to continue from. */
+      readonly version: number;
+    }
+  /** The changes after the version are no longer kept: list again. */
+  | {readonly kind: 'history_lost'}
+  | {readonly kind: 'unavailable'; readonly message: string};
+
+/** Reads of whole kinds of objects, and long polls for their changes. */
+export interface ObjectFeed {
+  listKind(kind: string): Promise<Result<Listing>>;
+  /**
+   * Waits up to `waitMs` for changes of a kind after a version.
+   *
+   * @example
+   * const batch = await feed.changes('lists', 530, 2_000, signal);
+   */
+  changes(
+    kind: string,
+    since: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<ChangeBatch>;
+}
--- a/packages/routes/src/search.ts
+++ b/packages/routes/src/search.ts
@@ -1,9 +1,17 @@
+import type {EndpointId} from '@chivewick/common';
 import type {Route, Stage} from '@chivewick/engines';
-import type {Endpoint} from './endpoint.js';
+
+/** What the search reads of an endpoint. */
+export interface SearchEndpoint {
+  readonly id: EndpointId;
+  readonly address: string;
+  /** Index of the failure domain in the link table. */
+  readonly domain: number;
+}
 
 /** An endpoint considered for a route, with its costs. */
 export interface Candidate {
-  readonly endpoint: Endpoint;
+  readonly endpoint: SearchEndpoint;
   readonly from: number;
   readonly to: number;
   /** Duration of the response's work for one layer, in microseconds. */
--- /dev/null
+++ b/scripts/build-host.mjs
@@ -0,0 +1,27 @@
+import {build} from 'esbuild';
+import {readdirSync, existsSync} from 'node:fs';
+import {resolve} from 'node:path';
+
+// Bundles the host program of the platform into target/. Packages are taken from
+// their sources, so that nothing is written outside target/.
+const alias = Object.fromEntries(
+  readdirSync('packages')
+    .filter(name => existsSync(`packages/${name}/src/index.ts`))
+    .map(name => [
+      `@chivewick/${name}`,
+      resolve('packages', name, 'src/index.ts'),
+    ]),
+);
+await build({
+  entryPoints: ['platform/src/main.ts'],
+  outfile: 'target/chivewick-host.mjs',
+  bundle: true,
+  platform: 'node',
+  format: 'esm',
+  target: 'node20',
+  alias,
+  // CommonJS dependencies load Node's own modules with require.
+  banner: {
+    js: "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);",
+  },
+});
