--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,7 +32,7 @@
 /** Length of a poll for endpoints; a cut is noticed by the other poll. */
 const ENDPOINT_POLL_MS = 10_000;
 /** Changes of endpoints gathered into one answer; well under the drain bound. */
-const GATHER_MS = 150;
+const GATHER_MS = 400;
 /** Before the first configuration says what callers may send. */
 const FIRST_LIMITS: CallerLimits = {
   maxHeaderBytes: 16_384,
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -1,4 +1,4 @@
-import {Agent} from 'undici';
+import {Agent, request, type IncomingMessage} from 'node:http';
 import type {Headers} from './types.js';
 
 /** A connection in the same region takes a few milliseconds to open. */
@@ -10,7 +10,8 @@
   readonly address: string;
   readonly method: string;
   readonly path: string;
-  readonly headers: string[];
+  /** Names and values by turns, without a length of the body. */
+  readonly headers: readonly string[];
   readonly body?: Buffer;
 }
 
@@ -40,68 +41,75 @@
 /**
  * Creates the client of endpoints. Each request has a connection of its own: an
  * endpoint may send bytes after a complete answer or drop an idle connection,
- * and neither may reach the next request.
+ * and neither may reach the next request. Node's own client is used, because
+ * undici 7 takes an answer without a length for whole when its connection is
+ * reset.
  *
  * @example
  * const call = upstream.send({address, method: 'GET', path: '/', headers: []}, events);
  */
 export function createUpstream(): Upstream {
-  const agent = new Agent({
-    pipelining: 0,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    connect: {timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false},
-  });
+  const agent = new Agent({keepAlive: false});
   return {
-    send(req, events) {
+    send(options, events) {
+      const [host, port] = options.address.split(':');
+      const {method, path, body} = options;
+      const headers = [...options.headers, 'connection', 'close'];
+      if (body !== undefined || method === 'POST' || method === 'PUT') {
+        headers.push('content-length', String(body?.length ?? 0));
+      }
       let done = false;
-      let controller:
-        | {abort(err: Error): void; pause(): void; resume(): void}
-        | undefined;
+      let res: IncomingMessage | undefined;
       const finish = (tell: () => void) => {
         if (done) return;
         done = true;
+        clearTimeout(connectTimer);
         tell();
       };
-      const abort = () => {
-        done = true;
-        controller?.abort(new Error('aborted by the host'));
-      };
-      agent.dispatch(
-        {
-          origin: `http://${req.address}`,
-          method: req.method as 'GET',
-          path: req.path,
-          headers: req.headers,
-          body: req.body ?? null,
-        },
-        {
-          onRequestStart(started) {
-            controller = started;
-            if (done) return started.abort(new Error('aborted by the host'));
-            events.sent();
-          },
-          onResponseStart(_controller, status, headers) {
-            if (done || status < 200) return;
-            events.answered(status, headers);
-          },
-          onResponseData(_controller, chunk) {
-            if (!done) events.data(chunk);
-          },
-          onResponseEnd() {
-            finish(() => events.ended());
-          },
-          onResponseError(_controller, err) {
-            finish(() => events.failed(err));
-          },
-        },
+      const fail = (err: Error) => finish(() => events.failed(err));
+      const call = request({host, port, method, path, headers, agent});
+      const connectTimer = setTimeout(
+        () => call.destroy(new Error('connect timeout')),
+        CONNECT_TIMEOUT_MS,
       );
+      call.once('socket', socket => {
+        socket.setNoDelay(true);
+        socket.once('connect', () => {
+          clearTimeout(connectTimer);
+          if (!done) events.sent();
+        });
+      });
+      call.once('response', response => {
+        res = response;
+        if (done) return;
+        // Listeners come first: `answered` may abort the call.
+        response.on('data', (chunk: Buffer) => {
+          if (!done) events.data(chunk);
+        });
+        response.once('end', () =>
+          response.complete
+            ? finish(() => events.ended())
+            : fail(new Error('answer ended early')),
+        );
+        response.once('error', fail);
+        events.answered(response.statusCode ?? 0, response.headers);
+      });
+      // Keeps listening: a destroyed call may fail more than once.
+      call.on('error', fail);
+      call.once('close', () => fail(new Error('connection closed')));
+      call.end(body);
       return {
-        abort,
-        pause: () => controller?.pause(),
-        resume: () => controller?.resume(),
+        abort() {
+          finish(() => {});
+          call.destroy();
+        },
+        pause: () => void res?.pause(),
+        resume: () => void res?.resume(),
       };
     },
-    close: () => agent.destroy(),
+    close: () => {
+      agent.destroy();
+      return Promise.resolve();
+    },
   };
 }
--- /dev/null
+++ b/packages/gateway/test/upstream.test.ts
@@ -0,0 +1,140 @@
+// Guards against passing on an answer that broke off as if it were whole, and
+// against taking bytes after an answer for the answer to the next request.
+import assert from 'node:assert/strict';
+import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {after, test} from 'node:test';
+import {createUpstream} from '../src/upstream.js';
+
+const servers: Server[] = [];
+const upstream = createUpstream();
+after(async () => {
+  for (const server of servers) server.close();
+  await upstream.close();
+});
+
+type Result = {outcome: 'ended' | 'failed'; status: number; body: string};
+
+async function ask(act: (socket: Socket) => void): Promise<Result> {
+  const server = createServer(socket => {
+    socket.on('error', () => {});
+    socket.once('data', () => act(socket));
+  });
+  servers.push(server);
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as AddressInfo;
+  return new Promise(resolve => {
+    let status = 0;
+    let body = '';
+    upstream.send(
+      {address: `127.0.0.1:${port}`, method: 'GET', path: '/', headers: []},
+      {
+        sent: () => {},
+        answered: answered => (status = answered),
+        data: chunk => (body += chunk.toString()),
+        ended: () => resolve({outcome: 'ended', status, body}),
+        failed: () => resolve({outcome: 'failed', status, body}),
+      },
+    );
+  });
+}
+
+const writeThen =
+  (text: string, then: (socket: Socket) => void) => (socket: Socket) =>
+    // The reset must not overtake the bytes before it.
+    socket.write(text, () => setTimeout(() => then(socket), 20));
+const reset = (socket: Socket) => socket.resetAndDestroy();
+const close = (socket: Socket) => socket.end();
+
+const CASES: readonly {
+  name: string;
+  act: (socket: Socket) => void;
+  outcome: Result['outcome'];
+  body: string;
+}[] = [
+  {
+    name: 'no length, closed',
+    act: writeThen('HTTP/1.1 200 OK\r\n\r\nwhole', close),
+    outcome: 'ended',
+    body: 'whole',
+  },
+  {
+    name: 'no length, reset',
+    act: writeThen('HTTP/1.1 200 OK\r\n\r\npart', reset),
+    outcome: 'failed',
+    body: 'part',
+  },
+  {
+    name: 'no length, announced close, reset',
+    act: writeThen('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart', reset),
+    outcome: 'failed',
+    body: 'part',
+  },
+  {
+    name: 'chunked, reset between chunks',
+    act: writeThen(
+      'HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n',
+      reset,
+    ),
+    outcome: 'failed',
+    body: 'part',
+  },
+  {
+    name: 'chunked, closed between chunks',
+    act: writeThen(
+      'HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n',
+      close,
+    ),
+    outcome: 'failed',
+    body: 'part',
+  },
+  {
+    name: 'shorter than its length, closed',
+    act: writeThen('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart', close),
+    outcome: 'failed',
+    body: 'part',
+  },
+  {
+    name: 'bytes after the answer',
+    act: writeThen(
+      'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother',
+      close,
+    ),
+    outcome: 'ended',
+    body: 'whole',
+  },
+  {
+    name: 'no answer in the protocol',
+    act: writeThen('nonsense\r\n\r\n', close),
+    outcome: 'failed',
+    body: '',
+  },
+];
+
+for (const {name, act, outcome, body} of CASES) {
+  test(`upstream: an answer with ${name} has ${outcome}`, async () => {
+    const result = await ask(act);
+    assert.equal(result.outcome, outcome);
+    assert.equal(result.body, body);
+  });
+}
+
+test('upstream: a refused connection fails before anything is sent', async () => {
+  const server = createServer();
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as AddressInfo;
+  await new Promise<void>(done => server.close(() => done()));
+  let sent = false;
+  await new Promise<void>(resolve => {
+    upstream.send(
+      {address: `127.0.0.1:${port}`, method: 'GET', path: '/', headers: []},
+      {
+        sent: () => (sent = true),
+        answered: () => {},
+        data: () => {},
+        ended: () => assert.fail('ended'),
+        failed: () => resolve(),
+      },
+    );
+  });
+  assert.equal(sent, false);
+});
--- a/scripts/build-host.mjs
+++ b/scripts/build-host.mjs
@@ -12,16 +12,27 @@
       resolve('packages', name, 'src/index.ts'),
     ]),
 );
-await build({
+const {metafile} = await build({
   entryPoints: ['platform/src/main.ts'],
   outfile: 'target/chivewick-host.mjs',
   bundle: true,
   platform: 'node',
   format: 'esm',
   target: 'node20',
+  minifySyntax: true,
+  minifyWhitespace: true,
+  metafile: true,
   alias,
   // CommonJS dependencies load Node's own modules with require.
   banner: {
     js: "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);",
   },
 });
+
+if (process.argv.includes('--sizes')) {
+  const [output] = Object.values(metafile.outputs);
+  const sizes = Object.entries(output.inputs)
+    .map(([path, {bytesInOutput}]) => [bytesInOutput, path])
+    .sort((a, b) => b[0] - a[0]);
+  for (const [bytes, path] of sizes.slice(0, 30)) console.log(bytes, path);
+}
