--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -3,6 +3,7 @@
 import type {EndpointTable} from './endpoint-table.js';
 import type {GatewayMetrics} from './metrics.js';
 import type {RetryAllowance} from './retry-allowance.js';
+import type {StreamProgress} from './stream-leg.js';
 import type {
   Dialect,
   EngineControl,
@@ -47,7 +48,12 @@
 
 /** How an exchange ended. */
 export type Ending =
-  | {readonly kind: 'served'; readonly status: number; readonly sends: number}
+  | {
+      readonly kind: 'served';
+      readonly status: number;
+      readonly sends: number;
+      readonly stream?: StreamProgress;
+    }
   | {readonly kind: 'caller_left'; readonly sends: number}
   | {readonly kind: 'failed'; readonly err: Failure; readonly sends: number}
   /** The answer had begun, so its connection was closed. */
--- a/packages/gateway/src/handle-request.ts
+++ b/packages/gateway/src/handle-request.ts
@@ -116,7 +116,15 @@
       elapsedMs: Math.round(performance.now() - exchange.arrivedMs),
     };
     if (ending.kind === 'served') {
-      return parts.log.event('requestServed', {...fields, status: ending.status});
+      const {status, stream} = ending;
+      return parts.log.event('requestServed', {
+        ...fields,
+        status,
+        events: stream?.events,
+        firstEventMs:
+          stream && Math.round(stream.firstEventMs - exchange.arrivedMs),
+        longestGapMs: stream && Math.round(stream.longestGapMs),
+      });
     }
     if (ending.kind === 'caller_left') {
       return parts.log.event('callerLeft', fields);
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -38,6 +38,7 @@
     events: 0,
     firstEventMs: 0,
     lastEventMs: 0,
+    longestGapMs: 0,
   };
   const exclude = new Set<EndpointId>();
   let runs = 0;
@@ -90,7 +91,7 @@
   ): Ending | undefined {
     if (outcome.kind === 'complete') {
       res.end();
-      return {kind: 'served', status: 200, sends};
+      return {kind: 'served', status: 200, sends, stream: progress};
     }
     if (outcome.kind === 'caller_left') return {kind: 'caller_left', sends};
     if (outcome.kind === 'answered') {
--- a/packages/gateway/src/stream-leg.ts
+++ b/packages/gateway/src/stream-leg.ts
@@ -29,6 +29,7 @@
   events: number;
   firstEventMs: number;
   lastEventMs: number;
+  longestGapMs: number;
 }
 
 export interface LegOptions {
@@ -203,6 +204,10 @@
         const seconds = (nowMs - exchange.arrivedMs) / 1_000;
         parts.metrics.firstByte.observe({kind: rule.kind}, seconds);
       }
+      if (progress.events > 0) {
+        const gapMs = nowMs - progress.lastEventMs;
+        progress.longestGapMs = Math.max(progress.longestGapMs, gapMs);
+      }
       progress.events += 1;
       progress.lastEventMs = nowMs;
       legEvents += 1;
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -131,8 +131,6 @@
   readonly state: 'ready' | 'draining';
   /** Unix time of its start in milliseconds; tells incarnations apart. */
   readonly startedAtMs: number;
-  /** Number of orders it has accepted. */
-  readonly orderCount: number;
   readonly accelerator?: string;
   /** Undefined while it holds no layers. */
   readonly layers?: LayerRange;
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -14,7 +14,7 @@
 } from '@chivewick/gateway';
 import {createLease} from '@chivewick/orders';
 import type {ObjectStore} from '@chivewick/platform';
-import {planLayers} from './plan-layers.js';
+import {planLayers, planMove} from './plan-layers.js';
 
 /**
  * Length of the lease. Placed layers serve without a holder; a lost one costs
@@ -110,19 +110,25 @@
       layers: heldBy(state),
     }));
     const plan = planLayers(engines, service.engine!);
-    await Promise.all(
-      [...plan].map(([endpoint, range]) => order(endpoint, range)),
-    );
+    await Promise.all(plan.map(({id, range}) => order(id, range)));
+    if (plan.length > 0 || states.some(isLoading)) return;
+    const move = planMove(engines, service.engine!);
+    if (move !== undefined) await order(move.id, move.range);
   }
 
-  /** What an engine holds, or will hold once an order is carried out. */
-  function heldBy(state: EndpointState): LayerRange | undefined {
+  /** Whether an order is under way whose range the engine does not show yet. */
+  function isLoading(state: EndpointState): boolean {
     const {id, layers, startedAtMs} = state.record;
-    if (layers !== undefined) return layers;
     const known = ordered.get(id);
-    if (known === undefined || known.startedAtMs !== startedAtMs) return;
-    if (performance.now() - known.atMs > ORDER_LOST_MS) return;
-    return known.range;
+    if (known === undefined || known.startedAtMs !== startedAtMs) return false;
+    if (performance.now() - known.atMs > ORDER_LOST_MS) return false;
+    return layers?.from !== known.range.from || layers.to !== known.range.to;
+  }
+
+  /** What an engine holds, or will hold once an order is carried out. */
+  function heldBy(state: EndpointState): LayerRange | undefined {
+    if (isLoading(state)) return ordered.get(state.record.id)!.range;
+    return state.record.layers;
   }
 
   async function order(endpoint: EndpointId, range: LayerRange): Promise<void> {
@@ -130,30 +136,27 @@
     if (state === undefined) return;
     const {address, startedAtMs} = state.record;
     ordered.set(endpoint, {startedAtMs, range, atMs: performance.now()});
-    let {orderCount} = state.record;
-    for (let attempt = 0; attempt < 2; attempt++) {
-      const fence = lease.fence();
-      if (fence === undefined) return void ordered.delete(endpoint);
-      const outcome = await control.place({id: endpoint, address}, range, {
-        fence,
-        orderCount,
-      });
-      if (outcome.kind === 'accepted' || outcome.kind === 'done') {
-        const fields = {endpoint, ...range, fence, orderCount};
-        return log.event('layersOrdered', {...fields, outcome: outcome.kind});
-      }
-      log.event('layersOrderFailed', {endpoint, ...range, fence, ...outcome});
-      if (outcome.kind === 'fenced') {
-        lease.doubt(true);
-        return void ordered.delete(endpoint);
-      }
-      // The answer was lost: the engine may carry the order out yet.
-      if (outcome.kind === 'unknown') return;
-      const report = await control.report(address, REPORT_TIMEOUT_MS);
-      if (report === undefined || report.layers !== undefined) return;
-      orderCount = report.orderCount;
+    const report = await control.report(address, REPORT_TIMEOUT_MS);
+    const fence = lease.fence();
+    if (report === undefined || fence === undefined) {
+      return void ordered.delete(endpoint);
+    }
+    const {orderCount} = report;
+    const outcome = await control.place({id: endpoint, address}, range, {
+      fence,
+      orderCount,
+    });
+    const fields = {endpoint, ...range, fence, orderCount};
+    if (outcome.kind === 'accepted' || outcome.kind === 'done') {
+      return log.event('layersOrdered', {...fields, outcome: outcome.kind});
+    }
+    log.event('layersOrderFailed', {...fields, ...outcome});
+    if (outcome.kind === 'fenced') {
+      log.event('placementFenced', {endpoint, fence});
+      lease.doubt(true);
     }
-    ordered.delete(endpoint);
+    // Where the answer was lost, the engine may carry the order out yet.
+    if (outcome.kind !== 'unknown') ordered.delete(endpoint);
   }
 
   void keepLease();
--- a/packages/placement/src/plan-layers.ts
+++ b/packages/placement/src/plan-layers.ts
@@ -1,6 +1,7 @@
 import type {EndpointId, FailureDomain} from '@chivewick/common';
 import type {LayerRange} from '@chivewick/engines';
-import {tokenLayerCapacity, type EngineProfile} from '@chivewick/gateway';
+import type {EngineProfile} from '@chivewick/gateway';
+import {createCover, type Cover} from './cover.js';
 
 /**
  * Ranges begin and end on a grid of this many parts of the model, so that a lost
@@ -11,6 +12,15 @@
 const MOST_PARTS = 2;
 /** Part of an engine's memory that layers may take; the rest holds tokens. */
 const MOST_LAYER_MEMORY = 0.82;
+/** Weight of the fleet's cover against the cover of an engine's own domain. */
+const FLEET_WEIGHT = 2;
+/**
+ * Layers with less than this part of the mean memory for tokens are scarce: they
+ * bound what the fleet can run at once.
+ */
+const SCARCE_PART = 0.7;
+/** A move must raise the scarcest layers by this factor, since it costs a load. */
+const LEAST_GAIN = 1.2;
 
 /** An engine to plan for. */
 export interface PlacedEngine {
@@ -21,11 +31,17 @@
   readonly layers?: LayerRange;
 }
 
+/** An order that the plan asks for. */
+export interface PlannedRange {
+  readonly id: EndpointId;
+  readonly range: LayerRange;
+}
+
 /**
- * Plans which layers empty engines shall hold. Engines that hold layers keep
+ * Plans which layers empty engines shall hold; engines that hold layers keep
  * them. Each engine, largest first, takes the range whose layers have the least
- * memory for tokens in its own failure domain, and after that in the fleet, so
- * that each domain gets whole paths and scarce layers get more cover.
+ * memory for tokens in the fleet and in its own failure domain, so that each
+ * domain gets whole paths and scarce layers get more cover.
  *
  * @returns a range for each engine that is to be ordered.
  * @example
@@ -34,78 +50,104 @@
 export function planLayers(
   engines: readonly PlacedEngine[],
   profile: EngineProfile,
-): Map<EndpointId, LayerRange> {
-  const fleet = new Array<number>(profile.layers).fill(0);
-  const domains = new Map<FailureDomain, number[]>();
-  const domainCover = (domain: FailureDomain) => {
-    const known = domains.get(domain);
-    if (known !== undefined) return known;
-    const created = new Array<number>(profile.layers).fill(0);
-    domains.set(domain, created);
-    return created;
-  };
-  const count = (engine: PlacedEngine, range: LayerRange) => {
-    const held = range.to - range.from;
-    const capacity = tokenLayerCapacity(profile, engine.accelerator, held);
-    const tokens = capacity / held;
-    const cover = domainCover(engine.failureDomain);
-    for (let layer = range.from; layer < range.to; layer++) {
-      fleet[layer] += tokens;
-      cover[layer] += tokens;
-    }
-  };
-
+): PlannedRange[] {
+  const cover = createCover(profile);
   for (const engine of engines)
-    if (engine.layers !== undefined) count(engine, engine.layers);
-  const orders = new Map<EndpointId, LayerRange>();
-  const memoryOf = (engine: PlacedEngine) =>
-    profile.kinds.get(engine.accelerator ?? '')?.memoryMb ?? 0;
+    if (engine.layers !== undefined) cover.add(engine, engine.layers);
+  const orders: PlannedRange[] = [];
   const empty = engines
     .filter(engine => engine.layers === undefined)
-    .sort((a, b) => memoryOf(b) - memoryOf(a) || (a.id < b.id ? -1 : 1));
+    .sort(
+      (a, b) =>
+        memoryOf(b, profile) - memoryOf(a, profile) || (a.id < b.id ? -1 : 1),
+    );
   for (const engine of empty) {
-    const size = rangeSize(memoryOf(engine), profile);
+    const size = rangeSize(engine, profile);
     if (size === 0) continue;
-    const cover = domainCover(engine.failureDomain);
-    const range = leastCovered(size, profile.layers, cover, fleet);
-    count(engine, range);
-    orders.set(engine.id, range);
+    const range = leastCovered(engine, size, profile, cover);
+    cover.add(engine, range);
+    orders.push({id: engine.id, range});
   }
   return orders;
 }
 
+/**
+ * Plans the one move that most raises the memory for tokens of the scarcest
+ * layers. Answers the loss of several engines with the same layers, which makes
+ * those layers the bound of the whole fleet while others have room.
+ *
+ * @returns undefined where no layer is scarce or no move helps enough.
+ * @example
+ * const move = planMove(engines, profile);
+ */
+export function planMove(
+  engines: readonly PlacedEngine[],
+  profile: EngineProfile,
+): PlannedRange | undefined {
+  const cover = createCover(profile);
+  const placed = engines.filter(engine => engine.layers !== undefined);
+  for (const engine of placed) cover.add(engine, engine.layers!);
+  const least = cover.least();
+  if (least >= SCARCE_PART * cover.mean()) return undefined;
+  let best: PlannedRange | undefined;
+  let bestLeast = Math.max(least * LEAST_GAIN, Number.MIN_VALUE);
+  for (const engine of placed) {
+    const held = engine.layers!;
+    cover.remove(engine, held);
+    for (const range of ranges(rangeSize(engine, profile), profile)) {
+      if (range.from === held.from && range.to === held.to) continue;
+      cover.add(engine, range);
+      if (cover.least() > bestLeast) {
+        best = {id: engine.id, range};
+        bestLeast = cover.least();
+      }
+      cover.remove(engine, range);
+    }
+    cover.add(engine, held);
+  }
+  return best;
+}
+
+function memoryOf(engine: PlacedEngine, profile: EngineProfile): number {
+  return profile.kinds.get(engine.accelerator ?? '')?.memoryMb ?? 0;
+}
+
 /** Layers that an engine takes: whole grid parts where one fits. */
-function rangeSize(memoryMb: number, profile: EngineProfile): number {
+function rangeSize(engine: PlacedEngine, profile: EngineProfile): number {
   const part = Math.max(1, Math.floor(profile.layers / GRID_PARTS));
-  const fits = Math.floor((memoryMb * MOST_LAYER_MEMORY) / profile.layerMb);
+  const memoryMb = memoryOf(engine, profile) * MOST_LAYER_MEMORY;
+  const fits = Math.floor(memoryMb / profile.layerMb);
   if (fits < part) return fits;
   return part * Math.min(MOST_PARTS, Math.floor(fits / part));
 }
 
+/** Ranges of a size that begin on multiples of it; the last ends the model. */
+function ranges(size: number, {layers}: EngineProfile): LayerRange[] {
+  const found: LayerRange[] = [];
+  if (size === 0) return found;
+  for (let at = 0; at < layers; at += size) {
+    const from = Math.min(at, layers - size);
+    found.push({from, to: from + size});
+  }
+  return found;
+}
+
 function leastCovered(
+  engine: PlacedEngine,
   size: number,
-  layers: number,
-  domainCover: readonly number[],
-  fleetCover: readonly number[],
+  profile: EngineProfile,
+  cover: Cover,
 ): LayerRange {
+  const {failureDomain} = engine;
   let best: LayerRange = {from: 0, to: size};
-  let bestCover = [Infinity, Infinity];
-  for (let at = 0; at < layers; at += size) {
-    const from = Math.min(at, layers - size);
-    const to = from + size;
-    const cover = [mean(domainCover, from, to), mean(fleetCover, from, to)];
-    const isBetter =
-      cover[0] < bestCover[0] ||
-      (cover[0] === bestCover[0] && cover[1] < bestCover[1]);
-    if (!isBetter) continue;
-    best = {from, to};
-    bestCover = cover;
+  let bestCost = Infinity;
+  for (const range of ranges(size, profile)) {
+    const cost =
+      cover.relative(range, failureDomain) +
+      FLEET_WEIGHT * cover.relative(range);
+    if (cost >= bestCost) continue;
+    best = range;
+    bestCost = cost;
   }
   return best;
 }
-
-function mean(values: readonly number[], from: number, to: number): number {
-  let sum = 0;
-  for (let index = from; index < to; index++) sum += values[index];
-  return sum / (to - from);
-}
