--- a/packages/gateway/src/choose-path.ts
+++ b/packages/gateway/src/choose-path.ts
@@ -19,6 +19,9 @@
 const READ_SHARE = 0.01;
 const MICROSECONDS = 1_000;
 
+/** An engine's own word that it is slow counts for so long. */
+const SLOWNESS_KEPT_MS = 6_000;
+
 /** A request that needs a path through all layers. */
 export interface PathRequest {
   readonly promptTokens: number;
@@ -91,8 +94,11 @@
         (profile.contextMsPerThousand * contextTokens) / 1_000);
   const readMs = promptTokens / (profile.readTokensPerS / 1_000);
   const decodeMs = answerTokens * stepMs * kind.pace;
+  const isSlow = request.nowMs - state.slownessAtMs < SLOWNESS_KEPT_MS;
+  const slowness = isSlow ? Math.max(1, state.slowness) : 1;
   const passMs =
-    decodeMs * (1 + READ_SHARE * running) + readMs * kind.readFactor;
+    slowness *
+    (decodeMs * (1 + READ_SHARE * running) + readMs * kind.readFactor);
   const capacity = tokenLayerCapacity(profile, accelerator, held);
   const used = Math.min(
     MOST_USED,
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -31,6 +31,9 @@
   suspectedUntilMs: number;
   /** Refused a request for want of room, until this time. */
   fullUntilMs: number;
+  /** Factor by which it is slower than its kind, and when it said so. */
+  slowness: number;
+  slownessAtMs: number;
   /** Set while its entry may only have lapsed. */
   lapsedUntilMs?: number;
   /** Set when its entry was removed for good. */
@@ -51,6 +54,9 @@
   usable(service: ServiceName): EndpointState[];
   domainIndex(domain: FailureDomain): number;
   suspect(state: EndpointState, reason: string): void;
+  observeSlowness(state: EndpointState, slowness: number): void;
+  /** Ends the suspicion of an endpoint that has answered. */
+  trust(state: EndpointState): void;
   /** Told when an endpoint is suspected; returns what ends that. */
   onSuspected(fn: (state: EndpointState) => void): () => void;
   /** Time since the set of endpoints last changed, in milliseconds. */
@@ -111,6 +117,8 @@
       failuresInRow: 0,
       suspectedUntilMs: 0,
       fullUntilMs: 0,
+      slowness: 1,
+      slownessAtMs: 0,
       gone: false,
     });
   }
@@ -185,6 +193,13 @@
       });
       for (const listener of listeners) listener(state);
     },
+    observeSlowness(state, slowness) {
+      state.slowness = slowness;
+      state.slownessAtMs = now();
+    },
+    trust(state) {
+      state.suspectedUntilMs = 0;
+    },
     onSuspected(fn) {
       listeners.add(fn);
       return () => void listeners.delete(fn);
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {EndpointTable} from './endpoint-table.js';
 import type {GatewayMetrics} from './metrics.js';
+import type {PathProbe} from './path-probe.js';
 import type {RetryAllowance} from './retry-allowance.js';
 import type {StreamProgress} from './stream-leg.js';
 import type {
@@ -37,6 +38,7 @@
   readonly table: EndpointTable;
   readonly allowance: RetryAllowance;
   readonly control: EngineControl;
+  readonly probe: PathProbe;
   readonly metrics: GatewayMetrics;
   readonly random: Random;
   readonly log: Logger;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,8 @@
 import {createFreshness} from './freshness.js';
 import {createRequestHandler} from './handle-request.js';
 import {createGatewayMetrics} from './metrics.js';
+import {createPathProbe} from './path-probe.js';
+import {recheckSuspects} from './recheck-suspects.js';
 import {createRetryAllowance} from './retry-allowance.js';
 import {createRouting, type Routing} from './routing.js';
 import type {
@@ -45,6 +47,11 @@
 /** Time that the end of the process takes, off the time before it is forced. */
 const END_MARGIN_MS = 500;
 const STOP_STEP_MS = 50;
+/**
+ * Part of the revocation bound after which an unconfirmed host leaves rotation:
+ * the balancer takes two seconds, and then keys must not be used any more.
+ */
+const READY_AGE_PART = 0.6;
 
 /** `ip:port` pairs that a gateway listens on. */
 export interface GatewayAddresses {
@@ -110,6 +117,7 @@
       hosts: options.hosts,
     }),
     control: options.control,
+    probe: createPathProbe(options.control, table),
     metrics,
     random: createRandom(),
     log,
@@ -148,6 +156,7 @@
     onUnavailable: () => table.storeUnavailable(),
   });
 
+  recheckSuspects(table, options.control, closing.signal);
   const handle = createRequestHandler({
     parts,
     freshness,
@@ -189,7 +198,15 @@
   log.event('gatewayStarted', {host: options.host, ...options.addresses});
 
   function isReady(): boolean {
-    return !stopping && routing !== undefined && hasEndpoints(routing);
+    const {strictRevocation, revokeMs} = options.bounds();
+    const isConfirmed =
+      !strictRevocation || freshness.ageMs() < READY_AGE_PART * revokeMs;
+    return (
+      !stopping &&
+      isConfirmed &&
+      routing !== undefined &&
+      hasEndpoints(routing)
+    );
   }
 
   function hasEndpoints({config}: Routing): boolean {
--- a/packages/gateway/src/handle-request.ts
+++ b/packages/gateway/src/handle-request.ts
@@ -31,7 +31,8 @@
  * is not older than this; others may have missed them.
  */
 const KNOWN_AGE_MS = 3_000;
-const RETRY_AFTER_MS = 1_000;
+/** Another host may serve the request at once. */
+const ELSEWHERE_RETRY_AFTER_MS = 50;
 
 /** What the handler of requests needs besides the parts of exchanges. */
 export interface HandlerOptions {
@@ -156,6 +157,8 @@
       configAgeMs: Math.round(options.freshness.ageMs()),
       elapsedMs: Math.round(performance.now() - arrivedMs),
     });
+    // Callers come back over a new connection, which leads to another host.
+    if (err.kind === 'rights_unconfirmed') res.setHeader('connection', 'close');
     answerFailure(res, err);
     req.resume();
   }
@@ -211,7 +214,7 @@
   const retryAfterMs =
     kind === 'not_found' || kind === 'unauthenticated'
       ? undefined
-      : RETRY_AFTER_MS;
+      : ELSEWHERE_RETRY_AFTER_MS;
   return {ok: false, err: failure(kind, message, {retryAfterMs})};
 }
 
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -1,4 +1,9 @@
-import {failure, type EndpointId, type Failure} from '@chivewick/common';
+import {
+  failure,
+  pause,
+  type EndpointId,
+  type Failure,
+} from '@chivewick/common';
 import type {Stage} from '@chivewick/engines';
 import {startAnswer} from './answers.js';
 import {choosePath, type PathRequest} from './choose-path.js';
@@ -15,6 +20,13 @@
 /** An endpoint that refused for want of room is passed over so long. */
 const FULL_MS = 250;
 const RETRY_AFTER_MS = 1_000;
+/**
+ * Longest wait for room on a path: callers leave after two seconds without an
+ * event, and the first event takes some hundred milliseconds at such times.
+ */
+const MOST_WAIT_MS = 1_000;
+/** Some stream ends every few dozen milliseconds on a busy path. */
+const WAIT_STEP_MS = 50;
 
 /**
  * Serves a stream over a path through all layers. A leg is one send over one
@@ -50,7 +62,14 @@
       if (leftMs < LEAST_TIME_MS) return ended(lastFailure ?? timedOut());
       const usable = parts.table.usable(service.name);
       const stages = choosePath(usable, profile, pathRequest());
-      if (stages === undefined) return ended(lastFailure ?? noPath(usable));
+      if (stages === undefined) {
+        const waitedMs = performance.now() - exchange.arrivedMs;
+        const mayWait = waitedMs < MOST_WAIT_MS && isOnlyFull(usable);
+        if (!mayWait) return ended(lastFailure ?? noPath(usable));
+        await pause(WAIT_STEP_MS);
+        if (res.destroyed) return {kind: 'caller_left', sends};
+        continue;
+      }
       if (sends > 0 && !parts.allowance.take(service.name)) {
         return ended(lastFailure ?? noPath(usable));
       }
@@ -116,6 +135,7 @@
     if (outcome.kind === 'refused') {
       if (blamed !== undefined) {
         blamed.fullUntilMs = performance.now() + FULL_MS;
+        exclude.delete(blamed.record.id);
       }
       if (runs === 0) {
         lastFailure = failure('overloaded', outcome.reason, {
@@ -130,6 +150,12 @@
     return mayContinue ? undefined : ended(lastFailure);
   }
 
+  /** Whether there is a path apart from endpoints that were full just now. */
+  function isOnlyFull(usable: readonly EndpointState[]): boolean {
+    const request = {...pathRequest(), nowMs: Infinity};
+    return choosePath(usable, profile, request) !== undefined;
+  }
+
   function ended(err: Failure): Ending {
     if (!res.headersSent) return {kind: 'failed', err, sends};
     // Without its last chunk the answer cannot be taken for a whole one.
--- a/packages/gateway/src/stream-leg.ts
+++ b/packages/gateway/src/stream-leg.ts
@@ -5,21 +5,23 @@
 import {createEventSplitter} from './event-splitter.js';
 import type {Exchange, ExchangeParts} from './exchange.js';
 import type {PathLoad} from './path-load.js';
+import type {PathFindings} from './path-probe.js';
 import {repairPath} from './repair-path.js';
 import {silenceBeforeLook} from './stall.js';
 import type {EngineProfile, Headers} from './types.js';
 import type {UpstreamCall} from './upstream.js';
 
-/** An engine answers a look within a few milliseconds; its lag is in the data. */
-const REPORT_TIMEOUT_MS = 250;
 /** Silence after which a leg is given up though no stage is known to be down. */
 const MOST_SILENCE_MS = 1_400;
 /** Silence before the first event after which a leg is given up. */
 const MOST_FIRST_SILENCE_MS = 6_000;
 /** Silence after which a leg over a suspected stage is examined at once. */
-const SUSPECT_SILENCE_MS = 100;
+const SUSPECT_SILENCE_MS = 40;
 /** Paths that one leg may be moved to. */
-const MOST_REPAIRS = 3;
+const MOST_REPAIRS = 4;
+/** An engine that refused a stream for want of room is passed over so long. */
+const FULL_MS = 250;
+const LEAST_TIMER_MS = 10;
 /** A failed answer of an engine is short. */
 const MOST_FAILURE_BYTES = 65_536;
 
@@ -77,6 +79,7 @@
     let repairs = 0;
     let legEvents = 0;
     let lastSignMs = performance.now();
+    let lastLookMs = 0;
     const failureChunks: Buffer[] = [];
     let failureBytes = 0;
     const splitter = createEventSplitter();
@@ -234,23 +237,22 @@
     }
 
     function watchSilence(): void {
+      const gaps = progress.events - 1;
       const meanGapMs =
-        progress.events < 2
-          ? 0
-          : (progress.lastEventMs - progress.firstEventMs) /
-            (progress.events - 1);
-      const limitMs = silenceBeforeLook(legEvents, meanGapMs);
-      const silentMs = performance.now() - lastSignMs;
-      const waitMs = paused ? limitMs : limitMs - silentMs;
+        gaps < 1 ? 0 : (progress.lastEventMs - progress.firstEventMs) / gaps;
+      const limitMs = silenceBeforeLook(legEvents, meanGapMs, rule.gapGoalMs);
+      const silentMs = performance.now() - Math.max(lastSignMs, lastLookMs);
       silenceTimer = setTimeout(
         () => {
-          const nowSilentMs = performance.now() - lastSignMs;
-          if (paused || nowSilentMs < limitMs) return watchSilence();
+          const silentSinceMs = Math.max(lastSignMs, lastLookMs);
+          if (paused || performance.now() - silentSinceMs < limitMs) {
+            return watchSilence();
+          }
           void look().then(() => {
             if (!ended) watchSilence();
           });
         },
-        Math.max(20, waitMs),
+        Math.max(LEAST_TIMER_MS, paused ? limitMs : limitMs - silentMs),
       );
     }
 
@@ -258,56 +260,55 @@
     async function look(): Promise<void> {
       if (looking || ended || paused) return;
       looking = true;
-      try {
-        const signMs = lastSignMs;
-        const report = await parts.control.report(
-          stages[0].address,
-          REPORT_TIMEOUT_MS,
-        );
-        if (ended || lastSignMs !== signMs) return;
-        if (report === undefined) {
-          if (first !== undefined) {
-            parts.table.suspect(first, 'stream is silent, report timed out');
-          }
-          const reason = 'silent, and its first stage does not answer';
-          return give({kind: 'broken', reason, blamed: first});
-        }
-        const waits = report.stalled.find(item => item.requestId === requestId);
-        if (waits !== undefined) return await repair(waits.address);
-        const suspects = stages.filter(({endpoint}) => {
-          const state = parts.table.get(endpoint);
-          return (
-            state === undefined || state.suspectedUntilMs > performance.now()
-          );
-        });
-        if (suspects.length > 0) return await repair(suspects[0].address);
-        const mostMs = legEvents === 0 ? MOST_FIRST_SILENCE_MS : MOST_SILENCE_MS;
-        if (performance.now() - lastSignMs > mostMs) {
-          give({kind: 'broken', reason: 'silent for an unknown reason'});
-        }
-      } finally {
-        looking = false;
-      }
+      const signMs = lastSignMs;
+      const findings = await parts.probe.look(stages, requestId);
+      if (!ended && lastSignMs === signMs) await act(findings);
+      lastLookMs = performance.now();
+      looking = false;
     }
 
-    async function repair(address: string): Promise<void> {
-      const stage = stages.find(item => item.address === address);
-      const blamed = parts.table.byAddress(address);
-      const reason = `silent, waits for ${address}`;
-      if (blamed !== undefined) parts.table.suspect(blamed, reason);
-      if (stage === undefined || repairs >= MOST_REPAIRS) {
-        return give({kind: 'broken', reason, blamed});
+    async function act(findings: PathFindings): Promise<void> {
+      const faulty = new Set(findings.silent ? [] : findings.dead);
+      const waitsFor = stages.find(({address}) => address === findings.waitsFor);
+      if (waitsFor !== undefined) faulty.add(waitsFor);
+      for (const stage of faulty) {
+        const state = parts.table.get(stage.endpoint);
+        if (state === undefined) continue;
+        parts.table.suspect(state, 'a stream is silent, it does not answer');
+      }
+      for (const stage of stages)
+        if (!isTrusted(stage.endpoint)) faulty.add(stage);
+      if (faulty.size > 0) return repair([...faulty]);
+      const mostMs = legEvents === 0 ? MOST_FIRST_SILENCE_MS : MOST_SILENCE_MS;
+      if (performance.now() - lastSignMs > mostMs) {
+        give({kind: 'broken', reason: 'silent for an unknown reason'});
       }
+    }
+
+    function isTrusted(endpoint: EndpointId): boolean {
+      const state = parts.table.get(endpoint);
+      return (
+        state !== undefined && state.suspectedUntilMs <= performance.now()
+      );
+    }
+
+    /** Moves the stream to a path without the faulty stages, or ends the leg. */
+    async function repair(faulty: readonly Stage[]): Promise<void> {
+      const blamed = parts.table.get(faulty[0].endpoint);
+      const reason = `silent, no answer from ${faulty[0].endpoint}`;
       repairs += 1;
-      replaced.add(stage.endpoint);
+      for (const stage of faulty) replaced.add(stage.endpoint);
       const request = options.pathRequest();
-      const path = repairPath(
-        stages,
-        new Set([stage.endpoint]),
-        parts.table.usable(exchange.service.name),
-        profile,
-        {...request, exclude: new Set([...request.exclude, ...replaced])},
-      );
+      const path =
+        repairs > MOST_REPAIRS
+          ? undefined
+          : repairPath(
+              stages,
+              new Set(faulty.map(stage => stage.endpoint)),
+              parts.table.usable(exchange.service.name),
+              profile,
+              {...request, exclude: new Set([...request.exclude, ...replaced])},
+            );
       if (path === undefined) return give({kind: 'broken', reason, blamed});
       const outcome = await parts.control.repath(
         {id: stages[0].endpoint, address: stages[0].address},
@@ -319,7 +320,7 @@
       parts.log.event('pathChanged', {
         requestId,
         outcome: outcome.kind,
-        replaced: stage.endpoint,
+        replaced: faulty.map(stage => stage.endpoint).join(','),
         path: path.map(item => item.endpoint).join(','),
         events: progress.events,
         silentMs: Math.round(performance.now() - lastSignMs),
@@ -331,10 +332,25 @@
         lastSignMs = performance.now();
         return;
       }
-      if (outcome.kind === 'conflict' && outcome.blamedAddress !== undefined) {
-        return repair(outcome.blamedAddress);
-      }
+      const other = path.find(
+        ({address}) =>
+          outcome.kind === 'conflict' && address === outcome.blamedAddress,
+      );
+      if (other !== undefined) return retryWithout(other, faulty);
       give({kind: 'broken', reason: `repath: ${outcome.kind}`, blamed});
     }
+
+    function retryWithout(
+      other: Stage,
+      faulty: readonly Stage[],
+    ): Promise<void> {
+      replaced.add(other.endpoint);
+      const state = parts.table.get(other.endpoint);
+      if (state !== undefined) {
+        state.fullUntilMs = performance.now() + FULL_MS;
+      }
+      const wasHeld = stages.some(stage => stage.endpoint === other.endpoint);
+      return repair(wasHeld ? [...faulty, other] : faulty);
+    }
   });
 }
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -200,6 +200,8 @@
 export interface EngineReport {
   readonly orderCount: number;
   readonly layers?: LayerRange;
+  /** Over 1 where the engine is slower than its kind. */
+  readonly slowness: number;
   /** Requests that wait for another stage, and that stage's address. */
   readonly stalled: readonly {requestId: string; address: string}[];
 }
--- a/packages/placement/src/plan-layers.ts
+++ b/packages/placement/src/plan-layers.ts
@@ -18,9 +18,9 @@
  * Layers with less than this part of the mean memory for tokens are scarce: they
  * bound what the fleet can run at once.
  */
-const SCARCE_PART = 0.7;
+const SCARCE_PART = 0.85;
 /** A move must raise the scarcest layers by this factor, since it costs a load. */
-const LEAST_GAIN = 1.2;
+const LEAST_GAIN = 1.1;
 
 /** An engine to plan for. */
 export interface PlacedEngine {
