--- a/packages/common/src/log-events/gateway.ts
+++ b/packages/common/src/log-events/gateway.ts
@@ -57,6 +57,11 @@
     level: 'warn',
     message: 'endpoint suspected to be down',
   },
+  loadExchangeFailed: {
+    number: 1033,
+    level: 'warn',
+    message: 'load could not be exchanged with another host',
+  },
   linesDropped: {
     number: 1040,
     level: 'warn',
--- a/packages/gateway/src/choose-path.ts
+++ b/packages/gateway/src/choose-path.ts
@@ -13,8 +13,12 @@
 const STAGE_RISK_US = 30_000;
 /** Part of the memory above which an endpoint counts as nearly full. */
 const MOST_USED = 0.97;
-/** Price of holding memory on an endpoint that is half full. */
-const HALF_USED_PRICE = 1;
+/**
+ * Price of memory: small while an endpoint has room, since fast engines serve
+ * best when they are used to the full, and steep near the end.
+ */
+const MEMORY_PRICE = 0.5;
+const MEMORY_PRICE_POWER = 4;
 /** Slow-down of decoding by each other request whose prompt may be read. */
 const READ_SHARE = 0.01;
 const MICROSECONDS = 1_000;
@@ -27,8 +31,8 @@
   readonly promptTokens: number;
   readonly answerTokens: number;
   readonly exclude: ReadonlySet<EndpointId>;
-  /** Requests in the whole fleet for each request of this host. */
-  readonly fleetFactor: number;
+  /** Hosts whose load is not known; they are taken to be like this one. */
+  readonly missingHosts: number;
   readonly nowMs: number;
 }
 
@@ -83,9 +87,11 @@
   if (request.exclude.has(id) || state.fullUntilMs > request.nowMs) {
     return undefined;
   }
-  const {promptTokens, answerTokens, fleetFactor} = request;
+  const {promptTokens, answerTokens, missingHosts} = request;
   const held = layers.to - layers.from;
-  const running = state.running * fleetFactor;
+  const running = state.running * (1 + missingHosts) + state.othersRunning;
+  const heldTokenLayers =
+    state.heldTokenLayers * (1 + missingHosts) + state.othersTokenLayers;
   const contextTokens = promptTokens + answerTokens / 2;
   const stepMs =
     profile.stepMs +
@@ -100,17 +106,14 @@
     slowness *
     (decodeMs * (1 + READ_SHARE * running) + readMs * kind.readFactor);
   const capacity = tokenLayerCapacity(profile, accelerator, held);
-  const used = Math.min(
-    MOST_USED,
-    (state.heldTokenLayers * fleetFactor) / Math.max(1, capacity),
-  );
+  const used = Math.min(MOST_USED, heldTokenLayers / Math.max(1, capacity));
   return {
     endpoint: {id, address, domain: state.domain},
     from: layers.from,
     to: layers.to,
     perLayerUs: (passMs * MICROSECONDS) / profile.layers,
     fixedUs: STAGE_RISK_US,
-    price: (HALF_USED_PRICE * used) / (1 - used),
+    price: (MEMORY_PRICE * used ** MEMORY_PRICE_POWER) / (1 - used),
   };
 }
 
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -25,6 +25,9 @@
   running: number;
   /** Memory that those requests hold: tokens times layers. */
   heldTokenLayers: number;
+  /** The same two of the other hosts, as they said last. */
+  othersRunning: number;
+  othersTokenLayers: number;
   /** Smoothed answer time of plain requests, in milliseconds. */
   latencyMs: number;
   failuresInRow: number;
@@ -48,6 +51,7 @@
   storeUnavailable(): void;
   get(id: EndpointId): EndpointState | undefined;
   byAddress(address: string): EndpointState | undefined;
+  all(): EndpointState[];
   /** Registered endpoints of a service, in any state. */
   ofService(service: ServiceName): EndpointState[];
   /** Endpoints that may get a new request. */
@@ -113,6 +117,8 @@
       domain: domainIndex(record.failureDomain),
       running: 0,
       heldTokenLayers: 0,
+      othersRunning: 0,
+      othersTokenLayers: 0,
       latencyMs: FIRST_LATENCY_MS,
       failuresInRow: 0,
       suspectedUntilMs: 0,
@@ -174,6 +180,7 @@
     get: endpoint => states.get(endpoint),
     byAddress: address =>
       [...states.values()].find(state => state.record.address === address),
+    all: () => [...states.values()],
     ofService,
     usable: service =>
       ofService(service).filter(
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -42,8 +42,8 @@
   readonly metrics: GatewayMetrics;
   readonly random: Random;
   readonly log: Logger;
-  /** Hosts that share the endpoints. */
-  hosts(): number;
+  /** Hosts whose load on the endpoints is not known. */
+  missingHosts(): number;
   /** Newest fencing number that this host knows. */
   fence(): number | undefined;
 }
--- /dev/null
+++ b/packages/gateway/src/fleet.ts
@@ -0,0 +1,90 @@
+import {pause, type HostId} from '@chivewick/common';
+import type {ObjectStore} from '@chivewick/platform';
+
+/** All hosts of a fleet start within a second or so. */
+const FIRST_LIST_MS = 2_000;
+/**
+ * Hosts that join announce themselves to those they find in the store; the list
+ * is read again only for hosts that were lost.
+ */
+const LIST_INTERVAL_MS = 20_000;
+const RETRY_MS = 1_000;
+
+/** A host of this system. */
+export interface FleetHost {
+  readonly id: HostId;
+  /** `ip:port` that takes messages of other hosts. */
+  readonly address: string;
+}
+
+/** The hosts that share the endpoints. */
+export interface Fleet {
+  /** Number of hosts, this one included. */
+  count(): number;
+  /** All other hosts that are known. */
+  others(): FleetHost[];
+  /** Takes a host that has sent a message. */
+  heard(host: FleetHost): void;
+}
+
+/**
+ * Registers this host in the store and lists the others. Entries of hosts that
+ * were removed stay, and make the shares of the others smaller, never larger.
+ *
+ * @param leastHosts assumed until the hosts have been listed.
+ * @example
+ * const fleet = joinFleet({self, store, kind: 'hosts', leastHosts: 3, signal});
+ */
+export function joinFleet(options: {
+  self: FleetHost;
+  store: ObjectStore;
+  /** Kind of the objects, one for each host. */
+  kind: string;
+  leastHosts: number;
+  signal: AbortSignal;
+}): Fleet {
+  const {self, store, kind, signal} = options;
+  const hosts = new Map<HostId, FleetHost>();
+  const key = `${kind}/${self.id}`;
+
+  /** Whether the store has this host's address. */
+  async function register(): Promise<boolean> {
+    const value = {address: self.address};
+    const created = await store.put(key, value, 'absent');
+    if (created.kind === 'written') return true;
+    const found = await store.get(key);
+    if (!found.ok || found.value === undefined) return false;
+    if (addressOf(found.value.value) === self.address) return true;
+    const replaced = await store.put(key, value, found.value.version);
+    return replaced.kind === 'written';
+  }
+
+  async function run(): Promise<void> {
+    while (!signal.aborted && !(await register())) await pause(RETRY_MS, signal);
+    await pause(FIRST_LIST_MS, signal);
+    while (!signal.aborted) {
+      const listed = await store.list(`${kind}/`);
+      if (listed.ok) {
+        for (const {key: name, value} of listed.value) {
+          const address = addressOf(value);
+          const id = name.slice(name.indexOf('/') + 1) as HostId;
+          if (address !== undefined) hosts.set(id, {id, address});
+        }
+      }
+      await pause(listed.ok ? LIST_INTERVAL_MS : RETRY_MS, signal);
+    }
+  }
+
+  void run();
+  return {
+    count: () =>
+      hosts.size === 0 ? options.leastHosts : Math.max(1, hosts.size),
+    others: () => [...hosts.values()].filter(host => host.id !== self.id),
+    heard: host => void hosts.set(host.id, host),
+  };
+}
+
+function addressOf(value: unknown): string | undefined {
+  const address = (value as {address?: unknown} | null)?.address;
+  return typeof address === 'string' ? address : undefined;
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,9 @@
 import {createServer, type Server} from 'node:http';
 import {createEndpointTable, type EndpointTable} from './endpoint-table.js';
 import type {ExchangeParts} from './exchange.js';
+import type {Fleet} from './fleet.js';
 import {followKind} from './follow-kind.js';
+import {startLoadExchange} from './load-exchange.js';
 import {createFreshness} from './freshness.js';
 import {createRequestHandler} from './handle-request.js';
 import {createGatewayMetrics} from './metrics.js';
@@ -32,8 +34,11 @@
  * two polls in a row may fail within it.
  */
 const CONFIG_POLL_MS = 2_000;
-/** Length of a poll for endpoints; a cut is noticed by the other poll. */
-const ENDPOINT_POLL_MS = 10_000;
+/**
+ * Length of a poll for endpoints. A connection may fall silent; it is noticed
+ * before the host counts as in touch again (3 s).
+ */
+const ENDPOINT_POLL_MS = 2_000;
 /** Changes of endpoints gathered into one answer; well under the drain bound. */
 const GATHER_MS = 400;
 /** Before the first configuration says what callers may send. */
@@ -60,6 +65,8 @@
 export interface GatewayAddresses {
   readonly callers: string;
   readonly readiness: string;
+  /** Takes messages of other hosts, as datagrams. */
+  readonly peers: string;
   readonly metrics?: string;
 }
 
@@ -77,7 +84,7 @@
   readonly readConfig: (object: StoredObject) => RoutingConfig | undefined;
   readonly readEndpoint: (object: StoredObject) => EndpointRecord | undefined;
   /** Hosts that share the endpoints. */
-  readonly hosts: () => number;
+  readonly fleet: Fleet;
   readonly fence: () => number | undefined;
 }
 
@@ -114,6 +121,12 @@
   let running = 0;
 
   const bounds = options.bounds();
+  const loadExchange = await startLoadExchange({
+    self: {id: options.host, address: options.addresses.peers},
+    fleet: options.fleet,
+    table,
+    log,
+  });
   const parts: ExchangeParts = {
     dialect: options.dialect,
     upstream,
@@ -122,14 +135,14 @@
       ratio: bounds.retryRatio,
       extra: bounds.retryExtra,
       windowMs: bounds.retryWindowMs,
-      hosts: options.hosts,
+      hosts: () => options.fleet.count(),
     }),
     control: options.control,
     probe: createPathProbe(options.control, table),
     metrics,
     random: createRandom(),
     log,
-    hosts: options.hosts,
+    missingHosts: () => loadExchange.missing(),
     fence: options.fence,
   };
 
@@ -258,14 +271,14 @@
     acceptUntilMs.repeatable = lastPlainMs;
     const step = () => new Promise(done => setTimeout(done, STOP_STEP_MS));
     while (elapsedMs() < LEAVE_ROTATION_MS) await step();
-    callers.close();
-    callers.closeIdleConnections();
+    // New connections are still taken, to tell callers to go elsewhere.
     while (running > 0 && elapsedMs() < graceMs - END_MARGIN_MS) await step();
     log.event('gatewayStopped', {
       running,
       elapsedMs: Math.round(elapsedMs()),
     });
     closing.abort();
+    loadExchange.close();
     for (const server of servers) server.closeAllConnections();
     await upstream.close();
   }
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -98,7 +98,7 @@
       promptTokens: promptTokens + progress.events,
       answerTokens,
       exclude,
-      fleetFactor: parts.hosts(),
+      missingHosts: parts.missingHosts(),
       nowMs: performance.now(),
     };
   }
