--- a/packages/gateway/src/choose-path.ts
+++ b/packages/gateway/src/choose-path.ts
@@ -17,8 +17,8 @@
  * Price of memory: small while an endpoint has room, since fast engines serve
  * best when they are used to the full, and steep near the end.
  */
-const MEMORY_PRICE = 0.5;
-const MEMORY_PRICE_POWER = 4;
+const MEMORY_PRICE = 1;
+const MEMORY_PRICE_POWER = 2;
 /** Slow-down of decoding by each other request whose prompt may be read. */
 const READ_SHARE = 0.01;
 const MICROSECONDS = 1_000;
@@ -34,6 +34,8 @@
   /** Hosts whose load is not known; they are taken to be like this one. */
   readonly missingHosts: number;
   readonly nowMs: number;
+  /** Whether endpoints without memory for the request are passed over. */
+  readonly onlyWithRoom: boolean;
 }
 
 /**
@@ -106,6 +108,10 @@
     slowness *
     (decodeMs * (1 + READ_SHARE * running) + readMs * kind.readFactor);
   const capacity = tokenLayerCapacity(profile, accelerator, held);
+  const needed = (promptTokens + answerTokens) * held;
+  if (request.onlyWithRoom && heldTokenLayers + needed > capacity) {
+    return undefined;
+  }
   const used = Math.min(MOST_USED, heldTokenLayers / Math.max(1, capacity));
   return {
     endpoint: {id, address, domain: state.domain},
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -40,8 +40,8 @@
 ): Promise<Ending> {
   const {rule, service, facts, res, requestId} = exchange;
   const answerTokens = Math.min(
-    facts.maxAnswerTokens || profile.usualAnswerTokens,
-    2 * profile.usualAnswerTokens,
+    facts.maxAnswerTokens || Infinity,
+    facts.likelyAnswerTokens ?? profile.usualAnswerTokens,
   );
   const promptTokens = facts.promptTokens || profile.usualPromptTokens;
   const load = createPathLoad(parts.table, promptTokens + answerTokens);
@@ -100,6 +100,7 @@
       exclude,
       missingHosts: parts.missingHosts(),
       nowMs: performance.now(),
+      onlyWithRoom: true,
     };
   }
 
@@ -152,7 +153,11 @@
 
   /** Whether there is a path apart from endpoints that were full just now. */
   function isOnlyFull(usable: readonly EndpointState[]): boolean {
-    const request = {...pathRequest(), nowMs: Infinity};
+    const request = {
+      ...pathRequest(),
+      nowMs: Infinity,
+      onlyWithRoom: false,
+    };
     return choosePath(usable, profile, request) !== undefined;
   }
 
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -160,6 +160,8 @@
   readonly lastEventId?: number;
   readonly promptTokens: number;
   readonly maxAnswerTokens: number;
+  /** The caller's guess; right at the median, often far off. */
+  readonly likelyAnswerTokens?: number;
 }
 
 /** What the host tells an endpoint about a request. */
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -111,11 +111,20 @@
     }));
     const plan = planLayers(engines, service.engine!);
     await Promise.all(plan.map(({id, range}) => order(id, range)));
-    if (plan.length > 0 || states.some(isLoading)) return;
-    const move = planMove(engines, service.engine!);
+    const isBusy = states.some(
+      state => isLoading(state) && !isSuspected(state.record.id),
+    );
+    if (plan.length > 0 || isBusy) return;
+    // A dead engine stays listed for seconds; its layers are scarce at once.
+    const alive = engines.filter(({id}) => !isSuspected(id));
+    const move = planMove(alive, service.engine!);
     if (move !== undefined) await order(move.id, move.range);
   }
 
+  function isSuspected(id: EndpointId): boolean {
+    return (table.get(id)?.suspectedUntilMs ?? 0) > performance.now();
+  }
+
   /** Whether an order is under way whose range the engine does not show yet. */
   function isLoading(state: EndpointState): boolean {
     const {id, layers, startedAtMs} = state.record;
