Confirm keys at once after a standstill; test requests, streams, keys and placement

A confirmation that is asked for used to begin a poll of 2 s; it now ends the poll and sends one that does not wait (found by the new tests).

--- a/packages/gateway/src/choose-endpoint.ts
+++ b/packages/gateway/src/choose-endpoint.ts
@@ -29,7 +29,9 @@
   if (open.length === 0) return undefined;
   const costs = open.map(expectedMs);
   const least = Math.min(...costs);
-  const best = open.filter((_, index) => costs[index] <= least * (1 + TIE_PART));
+  const best = open.filter(
+    (_, index) => costs[index] <= least * (1 + TIE_PART),
+  );
   return best[Math.floor(draw * best.length)];
 }
 
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -94,7 +94,10 @@
     const known = states.get(record.id);
     const isNew =
       known === undefined || known.record.startedAtMs !== record.startedAtMs;
-    if (isNew || known.record.state !== record.state) {
+    const isMoved =
+      known?.record.layers?.from !== record.layers?.from ||
+      known?.record.layers?.to !== record.layers?.to;
+    if (isNew || isMoved || known.record.state !== record.state) {
       const {id, service, address, state, layers, startedAtMs} = record;
       log.event('endpointChanged', {
         endpoint: id,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -59,4 +59,8 @@
   | {readonly kind: 'caller_left'; readonly sends: number}
   | {readonly kind: 'failed'; readonly err: Failure; readonly sends: number}
   /** The answer had begun, so its connection was closed. */
-  | {readonly kind: 'broken_off'; readonly err: Failure; readonly sends: number};
+  | {
+      readonly kind: 'broken_off';
+      readonly err: Failure;
+      readonly sends: number;
+    };
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -60,7 +60,8 @@
   }
 
   async function run(): Promise<void> {
-    while (!signal.aborted && !(await register())) await pause(RETRY_MS, signal);
+    while (!signal.aborted && !(await register()))
+      await pause(RETRY_MS, signal);
     await pause(FIRST_LIST_MS, signal);
     while (!signal.aborted) {
       const listed = await store.list(`${kind}/`);
--- a/packages/gateway/src/follow-kind.ts
+++ b/packages/gateway/src/follow-kind.ts
@@ -4,6 +4,8 @@
 /** Waits between attempts at an unavailable store double up to the longest. */
 const FIRST_RETRY_MS = 100;
 const LONGEST_RETRY_MS = 800;
+/** Wait of a poll that is to confirm the state at once. */
+const CONFIRM_WAIT_MS = 1;
 
 export interface FollowOptions {
   readonly kind: string;
@@ -23,7 +25,7 @@
 }
 
 export interface Follower {
-  /** Ends the poll in progress, so that the next one confirms the state now. */
+  /** Confirms the state now, by a poll that does not wait. */
   refresh(): void;
 }
 
@@ -39,6 +41,7 @@
   let version: number | undefined;
   let failures = 0;
   let poll = new AbortController();
+  let isConfirming = false;
 
   async function listOnce(): Promise<boolean> {
     const heard = options.onPoll?.();
@@ -52,26 +55,30 @@
 
   async function pollOnce(since: number): Promise<boolean> {
     poll = new AbortController();
+    const waitMs = isConfirming ? CONFIRM_WAIT_MS : options.waitMs;
     const heard = options.onPoll?.();
     const signals = AbortSignal.any([poll.signal, signal]);
-    const batch = await feed.changes(kind, since, options.waitMs, signals);
+    const batch = await feed.changes(kind, since, waitMs, signals);
     if (batch.kind === 'history_lost') {
       log.event('feedHistoryLost', {kind, since});
       version = undefined;
       return true;
     }
     if (batch.kind === 'unavailable') {
-      return poll.signal.aborted || failed(batch.message);
+      const isCutShort = poll.signal.aborted && isConfirming;
+      return isCutShort || failed(batch.message);
     }
     version = batch.version;
     if (batch.changes.length > 0) options.onChanges(batch.changes);
-    heard?.(batch.changes.length > 0 ? 0 : options.waitMs);
+    isConfirming = false;
+    heard?.(batch.changes.length > 0 ? 0 : waitMs);
     if (batch.changes.length > 0) await pause(options.gatherMs, signal);
     return true;
   }
 
   function failed(message: string): false {
     failures += 1;
+    isConfirming = false;
     if (failures === 1 && !signal.aborted) {
       log.event('storeLost', {kind, message, version});
     }
@@ -95,5 +102,11 @@
   }
 
   void run();
-  return {refresh: () => poll.abort()};
+  return {
+    refresh() {
+      if (isConfirming || failures > 0) return;
+      isConfirming = true;
+      poll.abort();
+    },
+  };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,8 +1,4 @@
-import {
-  createRandom,
-  type HostId,
-  type Logger,
-} from '@chivewick/common';
+import {createRandom, type HostId, type Logger} from '@chivewick/common';
 import type {ObjectFeed, StoredObject} from '@chivewick/platform';
 import {createServer, type Server} from 'node:http';
 import {createEndpointTable, type EndpointTable} from './endpoint-table.js';
@@ -94,6 +90,8 @@
   config(): RoutingConfig | undefined;
   /** Lets requests in progress end, then closes everything. */
   stop(): Promise<void>;
+  /** Closes everything at once. */
+  close(): Promise<void>;
 }
 
 /**
@@ -198,7 +196,10 @@
       running += 1;
       res.once('close', () => (running -= 1));
       handle(req, res).catch((err: unknown) => {
-        log.event('requestNotServed', {error: 'internal', message: String(err)});
+        log.event('requestNotServed', {
+          error: 'internal',
+          message: String(err),
+        });
         res.destroy();
       });
     },
@@ -224,10 +225,7 @@
     const isConfirmed =
       !strictRevocation || freshness.ageMs() < READY_AGE_PART * revokeMs;
     return (
-      !stopping &&
-      isConfirmed &&
-      routing !== undefined &&
-      hasEndpoints(routing)
+      !stopping && isConfirmed && routing !== undefined && hasEndpoints(routing)
     );
   }
 
@@ -277,13 +275,21 @@
       running,
       elapsedMs: Math.round(elapsedMs()),
     });
+    await close();
+  }
+
+  async function close(): Promise<void> {
+    if (closing.signal.aborted) return;
     closing.abort();
     loadExchange.close();
-    for (const server of servers) server.closeAllConnections();
+    for (const server of servers) {
+      server.close();
+      server.closeAllConnections();
+    }
     await upstream.close();
   }
 
-  return {table, config: () => routing?.config, stop};
+  return {table, config: () => routing?.config, stop, close};
 }
 
 function listen(server: Server, address: string): Promise<void> {
@@ -297,4 +303,3 @@
 function idOf(key: string): EndpointRecord['id'] {
   return key.slice(key.lastIndexOf('/') + 1) as EndpointRecord['id'];
 }
-
--- a/packages/gateway/src/handle-request.ts
+++ b/packages/gateway/src/handle-request.ts
@@ -80,7 +80,10 @@
     const body = await readBody(req, limits.maxBodyBytes);
     if (body.kind === 'aborted') return;
     if (body.kind === 'too_large') {
-      const err = failure('body_too_large', `over ${limits.maxBodyBytes} bytes`);
+      const err = failure(
+        'body_too_large',
+        `over ${limits.maxBodyBytes} bytes`,
+      );
       return refuse(req, res, facts, err, arrivedMs);
     }
     if (facts.requestId === undefined) {
@@ -208,7 +211,10 @@
     if (workspace === undefined) {
       return isCurrent || facts.key === undefined
         ? refusal('unauthenticated', 'unknown key')
-        : refusal('platform_unavailable', 'no such key in an old configuration');
+        : refusal(
+            'platform_unavailable',
+            'no such key in an old configuration',
+          );
     }
   }
   const name = pickTarget(rule.targets, options.parts.random.next());
@@ -232,7 +238,11 @@
   oldestMs: number,
 ): Promise<boolean> {
   options.confirm();
-  for (let waitedMs = 0; waitedMs < CONFIRM_WAIT_MS; waitedMs += CONFIRM_STEP_MS) {
+  for (
+    let waitedMs = 0;
+    waitedMs < CONFIRM_WAIT_MS;
+    waitedMs += CONFIRM_STEP_MS
+  ) {
     await pause(CONFIRM_STEP_MS);
     if (options.freshness.ageMs() <= oldestMs) return true;
   }
--- a/packages/gateway/src/read-body.ts
+++ b/packages/gateway/src/read-body.ts
@@ -12,7 +12,10 @@
  * @example
  * const body = await readBody(req, 4_194_304);
  */
-export function readBody(req: IncomingMessage, maxBytes: number): Promise<Body> {
+export function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Body> {
   const length = Number(req.headers['content-length'] ?? 0);
   if (length > maxBytes) return Promise.resolve({kind: 'too_large'});
   return new Promise(resolve => {
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -109,7 +109,8 @@
     const usable = parts.table.usable(service.name);
     const other = usable.some(state => !tried.has(state.record.id));
     const leftMs = exchange.deadlineAtMs - performance.now();
-    if (!other || leftMs < LEAST_TIME_MS) return deliver(exchange, answer, sends);
+    if (!other || leftMs < LEAST_TIME_MS)
+      return deliver(exchange, answer, sends);
     lastFailure = failure('endpoint_failed', `answered ${answer.status}`);
     return undefined;
   }
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -1,9 +1,4 @@
-import {
-  failure,
-  pause,
-  type EndpointId,
-  type Failure,
-} from '@chivewick/common';
+import {failure, pause, type EndpointId, type Failure} from '@chivewick/common';
 import type {Stage} from '@chivewick/engines';
 import {startAnswer} from './answers.js';
 import {choosePath, type PathRequest} from './choose-path.js';
--- a/packages/gateway/src/stream-leg.ts
+++ b/packages/gateway/src/stream-leg.ts
@@ -269,7 +269,9 @@
 
     async function act(findings: PathFindings): Promise<void> {
       const faulty = new Set(findings.silent ? [] : findings.dead);
-      const waitsFor = stages.find(({address}) => address === findings.waitsFor);
+      const waitsFor = stages.find(
+        ({address}) => address === findings.waitsFor,
+      );
       if (waitsFor !== undefined) faulty.add(waitsFor);
       for (const stage of faulty) {
         const state = parts.table.get(stage.endpoint);
@@ -287,9 +289,7 @@
 
     function isTrusted(endpoint: EndpointId): boolean {
       const state = parts.table.get(endpoint);
-      return (
-        state !== undefined && state.suspectedUntilMs <= performance.now()
-      );
+      return state !== undefined && state.suspectedUntilMs <= performance.now();
     }
 
     /** Moves the stream to a path without the faulty stages, or ends the leg. */
--- /dev/null
+++ b/packages/gateway/test/event-splitter.test.ts
@@ -0,0 +1,32 @@
+// Guards against passing on a part of an event, which the endpoint that goes on
+// with the stream would send again.
+import fc from 'fast-check';
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createEventSplitter} from '../src/event-splitter.js';
+
+const STREAM =
+  'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c';
+
+test('events: any cut of the bytes gives the same whole events', () => {
+  fc.assert(
+    fc.property(fc.array(fc.integer({min: 1, max: 9})), sizes => {
+      const splitter = createEventSplitter();
+      const events = [];
+      let at = 0;
+      for (const size of [...sizes, STREAM.length]) {
+        events.push(...splitter.push(Buffer.from(STREAM.slice(at, at + size))));
+        at += size;
+      }
+      assert.deepEqual(
+        events.map(({id, bytes}) => [id, bytes.toString()]),
+        [
+          [1, 'id: 1\ndata: a\n\n'],
+          [2, 'id: 2\r\ndata: b\r\n\r\n'],
+          [undefined, ': note\n\n'],
+        ],
+      );
+      assert.equal(splitter.rest().toString(), 'id: 3\ndata: c');
+    }),
+  );
+});
--- /dev/null
+++ b/packages/gateway/test/retry-allowance.test.ts
@@ -0,0 +1,59 @@
+// Guards against more second sends than all hosts together may make.
+import {id, type ServiceName} from '@chivewick/common';
+import fc from 'fast-check';
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createRetryAllowance} from '../src/retry-allowance.js';
+
+const SERVICE = id<ServiceName>('s');
+
+test('retries: in any window they stay within the ratio and the share', () => {
+  const step = fc.record({
+    waitMs: fc.integer({min: 0, max: 700}),
+    requests: fc.integer({min: 0, max: 8}),
+    tries: fc.integer({min: 0, max: 12}),
+  });
+  fc.assert(
+    fc.property(fc.array(step, {maxLength: 60}), steps => {
+      let nowMs = 0;
+      const allowance = createRetryAllowance({
+        ratio: 0.2,
+        extra: 90,
+        windowMs: 10_000,
+        hosts: () => 9,
+        now: () => nowMs,
+      });
+      const requests: number[] = [];
+      const retries: number[] = [];
+      for (const {waitMs, requests: count, tries} of steps) {
+        nowMs += waitMs;
+        for (let index = 0; index < count; index++) {
+          allowance.requested(SERVICE);
+          requests.push(nowMs);
+        }
+        for (let index = 0; index < tries; index++)
+          if (allowance.take(SERVICE)) retries.push(nowMs);
+        const isRecent = (atMs: number) => atMs > nowMs - 10_000;
+        // The rule counts requests of this window or of the one before.
+        const asked = requests.filter(atMs => atMs > nowMs - 11_000).length;
+        assert.ok(
+          retries.filter(isRecent).length <= 0.2 * asked + 10,
+          'over the share',
+        );
+      }
+    }),
+  );
+});
+
+test('retries: services have allowances of their own', () => {
+  const allowance = createRetryAllowance({
+    ratio: 0,
+    extra: 10,
+    windowMs: 10_000,
+    hosts: () => 5,
+    now: () => 0,
+  });
+  assert.equal(allowance.take(SERVICE), true);
+  assert.equal(allowance.take(SERVICE), false);
+  assert.equal(allowance.take(id<ServiceName>('other')), true);
+});
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -1,7 +1,12 @@
 // Guards against passing on an answer that broke off as if it were whole, and
 // against taking bytes after an answer for the answer to the next request.
 import assert from 'node:assert/strict';
-import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
 import {after, test} from 'node:test';
 import {createUpstream} from '../src/upstream.js';
 
--- /dev/null
+++ b/packages/gateway/test/world.ts
@@ -0,0 +1,407 @@
+import {
+  createSilentLogger,
+  fail,
+  id,
+  ok,
+  type EndpointId,
+  type FailureDomain,
+  type HostId,
+  type ModelName,
+  type ServiceName,
+  type WorkspaceId,
+} from '@chivewick/common';
+import type {
+  ChangeBatch,
+  ObjectChange,
+  ObjectFeed,
+  StoredObject,
+} from '@chivewick/platform';
+import {createSocket} from 'node:dgram';
+import {request, type IncomingHttpHeaders} from 'node:http';
+import {
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+import {startGateway, type Gateway} from '../src/gateway.js';
+import type {
+  Dialect,
+  EndpointRecord,
+  EngineControl,
+  EngineProfile,
+  HostBounds,
+  RouteName,
+  RouteRule,
+  RoutingConfig,
+  ServiceRule,
+} from '../src/types.js';
+
+export const PLAIN = id<ServiceName>('app');
+export const MODEL = id<ServiceName>('model');
+
+export const PROFILE: EngineProfile = {
+  model: id<ModelName>('m'),
+  loadS: 14,
+  loadsAtOnce: 5,
+  layers: 80,
+  layerMb: 1_750,
+  stepMs: 1,
+  perSequenceMs: 0.01,
+  contextMsPerThousand: 0.014,
+  readTokensPerS: 105_000,
+  tokenBytes: 1_315_343,
+  activationBytes: 65_767,
+  linkMbps: 400_000,
+  pipeMbps: 26_000,
+  slots: 134,
+  usualPromptTokens: 774,
+  usualAnswerTokens: 200,
+  kinds: new Map([['card', {memoryMb: 72_000, pace: 2, readFactor: 3}]]),
+  delays: [],
+};
+
+const BOUNDS: HostBounds = {
+  drainMs: 2_000,
+  graceMs: 8_000,
+  revokeMs: 5_000,
+  strictRevocation: true,
+  retryRatio: 1,
+  retryWindowMs: 10_000,
+  retryExtra: 100,
+};
+
+/** Header names of these tests; a deployment brings its own. */
+const DIALECT: Dialect = {
+  readRequest: headers => ({
+    requestId: headers['request-id'] as string | undefined,
+    deadlineMs: Number(headers['deadline-ms'] ?? 5_000),
+    key: headers['key'] as string | undefined,
+    lastEventId: headers['after-event']
+      ? Number(headers['after-event'])
+      : undefined,
+    promptTokens: 100,
+    maxAnswerTokens: 100,
+  }),
+  forwardHeaders: (raw, facts) => [
+    'host',
+    'h',
+    'request-id',
+    raw[raw.findIndex(name => name.toLowerCase() === 'request-id') + 1],
+    'workspace',
+    facts.workspace ?? '',
+    'after-event',
+    String(facts.lastEventId ?? ''),
+    'stages',
+    (facts.stages ?? []).map(stage => stage.endpoint).join(','),
+  ],
+  readAnswer: (status, headers) => ({
+    requestId: headers['request-id'] as string | undefined,
+    signed: headers['signature'] !== undefined,
+    notRun: headers['not-run'] !== undefined || status === 421,
+    blamedAddress: undefined,
+    encoded: false,
+  }),
+};
+
+export function route(changes: Partial<RouteRule> = {}): RouteRule {
+  return {
+    name: id<RouteName>('r'),
+    host: 'h',
+    pathPrefix: '/',
+    kind: 'repeatable',
+    timeoutMs: 3_000,
+    goalMs: 500,
+    gapGoalMs: 200,
+    priority: 1,
+    targets: [{service: PLAIN, weight: 1}],
+    maxEndpoints: 2,
+    open: true,
+    resumable: false,
+    ...changes,
+  };
+}
+
+export function config(changes: Partial<RoutingConfig> = {}): RoutingConfig {
+  const services: ServiceRule[] = [
+    {name: PLAIN, healthPath: '/health'},
+    {name: MODEL, healthPath: '/health', engine: PROFILE},
+  ];
+  return {
+    version: 1,
+    routes: [route()],
+    services: new Map(services.map(service => [service.name, service])),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    workspaceOfKey: new Map([['key-1', {id: id<WorkspaceId>('w1')}]]),
+    ...changes,
+  };
+}
+
+/** A store in memory whose polls the test answers. */
+export function createFakeFeed() {
+  const objects = new Map<string, StoredObject>();
+  const waiting = new Set<() => void>();
+  let changes: ObjectChange[] = [];
+  let version = 1;
+  let isDown = false;
+  let isHistoryLost = false;
+
+  function put(key: string, value: unknown): void {
+    version += 1;
+    objects.set(key, {key, version, value});
+    changes.push({key, version, value});
+    for (const wake of waiting) wake();
+  }
+
+  const feed: ObjectFeed = {
+    listKind: kind =>
+      Promise.resolve(
+        isDown
+          ? fail('platform_unavailable', 'down')
+          : ok({
+              objects: [...objects.values()].filter(object =>
+                object.key.startsWith(`${kind}/`),
+              ),
+              version,
+            }),
+      ),
+    async changes(kind, since, waitMs, signal): Promise<ChangeBatch> {
+      const found = () =>
+        changes.filter(
+          change => change.version > since && change.key.startsWith(`${kind}/`),
+        );
+      if (found().length === 0 && !isDown) {
+        await new Promise<void>(resolve => {
+          const done = () => {
+            clearTimeout(timer);
+            waiting.delete(done);
+            resolve();
+          };
+          const timer = setTimeout(done, waitMs);
+          waiting.add(done);
+          signal.addEventListener('abort', done);
+        });
+      }
+      if (isDown || signal.aborted) {
+        return {kind: 'unavailable', message: 'down or cut short'};
+      }
+      if (isHistoryLost) {
+        isHistoryLost = false;
+        return {kind: 'history_lost'};
+      }
+      return {kind: 'changes', changes: found(), version};
+    },
+  };
+  return {
+    feed,
+    put,
+    remove(key: string) {
+      version += 1;
+      objects.delete(key);
+      changes.push({key, version});
+      for (const wake of waiting) wake();
+    },
+    setDown(down: boolean) {
+      isDown = down;
+      for (const wake of waiting) wake();
+    },
+    /** Drops the history, with changes in it that nobody has heard of. */
+    loseHistory(key: string, value: unknown) {
+      version += 1;
+      objects.set(key, {key, version, value});
+      changes = [];
+      isHistoryLost = true;
+      for (const wake of waiting) wake();
+    },
+  };
+}
+
+/** What an endpoint does with a connection on which a request has arrived. */
+export type Act = (socket: Socket, head: string) => void;
+
+export interface FakeEndpoint {
+  readonly address: string;
+  /** Heads of the requests that have arrived. */
+  readonly heads: string[];
+  act: Act;
+}
+
+const servers: Server[] = [];
+const gateways: Gateway[] = [];
+
+/** Starts an endpoint that answers as `act` says. */
+export async function startEndpoint(act: Act): Promise<FakeEndpoint> {
+  const heads: string[] = [];
+  const endpoint: {address: string; heads: string[]; act: Act} = {
+    address: '',
+    heads,
+    act,
+  };
+  const server = createServer(socket => {
+    socket.on('error', () => {});
+    socket.once('data', bytes => {
+      heads.push(bytes.toString());
+      endpoint.act(socket, bytes.toString());
+    });
+  });
+  servers.push(server);
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  endpoint.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  return endpoint;
+}
+
+export function header(head: string, name: string): string | undefined {
+  return new RegExp(`^${name}: ?(.*)$`, 'im').exec(head)?.[1].trim();
+}
+
+/** Answers 200 with a body, signed, under the request's own id. */
+export const answer =
+  (body: string, status = '200 OK', extra = 'signature: s\r\n'): Act =>
+  (socket, head) =>
+    socket.end(
+      `HTTP/1.1 ${status}\r\nrequest-id: ${header(head, 'request-id')}\r\n${extra}content-length: ${body.length}\r\n\r\n${body}`,
+    );
+
+export function record(
+  name: string,
+  address: string,
+  changes: Partial<EndpointRecord> = {},
+): EndpointRecord {
+  return {
+    id: id<EndpointId>(name),
+    service: PLAIN,
+    address,
+    failureDomain: id<FailureDomain>('a'),
+    slots: 6,
+    state: 'ready',
+    startedAtMs: 1,
+    ...changes,
+  };
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as AddressInfo;
+  await new Promise<void>(done => server.close(() => done()));
+  return port;
+}
+
+async function freeDatagramPort(): Promise<number> {
+  const socket = createSocket('udp4');
+  await new Promise<void>(done => socket.bind(0, '127.0.0.1', done));
+  const {port} = socket.address();
+  await new Promise<void>(done => socket.close(() => done()));
+  return port;
+}
+
+const NO_CONTROL: EngineControl = {
+  report: () => Promise.resolve(undefined),
+  place: () => Promise.resolve({kind: 'unknown', message: 'no engine'}),
+  repath: () => Promise.resolve({kind: 'unknown', message: 'no engine'}),
+};
+
+/** Starts a gateway over a fake store, and waits until it knows its endpoints. */
+export async function startWorld(options: {
+  config?: RoutingConfig;
+  records?: readonly EndpointRecord[];
+  bounds?: Partial<HostBounds>;
+  control?: EngineControl;
+}) {
+  const store = createFakeFeed();
+  const [callers, readiness, peers] = await Promise.all([
+    freePort(),
+    freePort(),
+    freeDatagramPort(),
+  ]);
+  store.put('config/main', options.config ?? config());
+  for (const item of options.records ?? []) {
+    store.put(`endpoints/${item.id}`, item);
+  }
+  const gateway = await startGateway({
+    host: id<HostId>('host-1'),
+    addresses: {
+      callers: `127.0.0.1:${callers}`,
+      readiness: `127.0.0.1:${readiness}`,
+      peers: `127.0.0.1:${peers}`,
+    },
+    bounds: () => ({...BOUNDS, ...options.bounds}),
+    feed: store.feed,
+    dialect: DIALECT,
+    control: options.control ?? NO_CONTROL,
+    log: createSilentLogger(),
+    kinds: {config: 'config', endpoints: 'endpoints'},
+    readConfig: object => object.value as RoutingConfig,
+    readEndpoint: object => object.value as EndpointRecord,
+    fleet: {count: () => 1, others: () => [], heard: () => {}},
+    fence: () => undefined,
+  });
+  gateways.push(gateway);
+  await until(() => gateway.config() !== undefined);
+  await until(
+    () => gateway.table.all().length === (options.records?.length ?? 0),
+  );
+  return {gateway, store, port: callers, readinessPort: readiness};
+}
+
+/** Waits for a condition; the test's own time limit ends a vain wait. */
+export async function until(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) await new Promise(done => setTimeout(done, 5));
+}
+
+export interface Reply {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer came to its end. */
+  readonly complete: boolean;
+}
+
+/** Sends a request as a caller does. */
+export function ask(
+  port: number,
+  options: {
+    path?: string;
+    method?: string;
+    headers?: Record<string, string>;
+    body?: string;
+  } = {},
+): Promise<Reply> {
+  return new Promise((resolve, reject) => {
+    const {path = '/x', method = 'POST', headers = {}, body} = options;
+    const req = request({
+      host: '127.0.0.1',
+      port,
+      path,
+      method,
+      agent: false,
+      headers: {host: 'h', 'request-id': 'q1', ...headers},
+    });
+    req.on('error', reject);
+    req.on('response', res => {
+      let text = '';
+      const done = () =>
+        resolve({
+          status: res.statusCode ?? 0,
+          headers: res.headers,
+          body: text,
+          complete: res.complete,
+        });
+      res.on('data', (chunk: Buffer) => (text += chunk.toString()));
+      res.on('end', done);
+      res.on('error', done);
+    });
+    req.end(body);
+  });
+}
+
+/** Ends everything that the tests of a file have started. */
+export async function closeWorlds(): Promise<void> {
+  await Promise.all(gateways.map(gateway => gateway.close()));
+  for (const server of servers) server.close();
+}
--- a/packages/placement/src/plan-layers.ts
+++ b/packages/placement/src/plan-layers.ts
@@ -74,7 +74,8 @@
 /**
  * Plans the one move that most raises the memory for tokens of the scarcest
  * layers. Answers the loss of several engines with the same layers, which makes
- * those layers the bound of the whole fleet while others have room.
+ * those layers the bound of the whole fleet while others have room. An engine
+ * moves only if the layers that it leaves do not become scarcer than those.
  *
  * @returns undefined where no layer is scarce or no move helps enough.
  * @example
@@ -94,7 +95,10 @@
   for (const engine of placed) {
     const held = engine.layers!;
     cover.remove(engine, held);
+    // A move takes seconds, in which the engine serves neither range.
+    const isSpared = cover.least() >= least;
     for (const range of ranges(rangeSize(engine, profile), profile)) {
+      if (!isSpared) break;
       if (range.from === held.from && range.to === held.to) continue;
       cover.add(engine, range);
       if (cover.least() > bestLeast) {
