--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -8,8 +8,12 @@
 
 /** A suspected endpoint is tried again after this long. */
 const SUSPICION_MS = 2_500;
-/** Entries that lapsed in an outage of the store are back within this time. */
-const LAPSE_GRACE_MS = 2_000;
+/**
+ * Time in which this host learns of a removed entry: gathered changes and the way
+ * from the store. An endpoint whose entry may only have lapsed is used for the
+ * rest of the drain bound, within which such entries mostly come back.
+ */
+const LEARNING_MS = 600;
 /** An entry that vanishes so soon after an outage may only have lapsed. */
 const AFTER_OUTAGE_MS = 3_000;
 /** Weight of the newest answer time in the average. */
@@ -70,13 +74,15 @@
 /**
  * Creates the table.
  *
+ * @param drainMs time after which a leaving endpoint must get nothing more.
  * @example
- * const table = createEndpointTable(log);
+ * const table = createEndpointTable(log, () => 2_000);
  * table.upsert(record);
  * const candidates = table.usable(record.service);
  */
 export function createEndpointTable(
   log: Logger,
+  drainMs: () => number,
   now: () => number = () => performance.now(),
 ): EndpointTable {
   const states = new Map<EndpointId, EndpointState>();
@@ -138,7 +144,7 @@
     const mayHaveLapsed =
       state.record.state === 'ready' && now() - outageAtMs < AFTER_OUTAGE_MS;
     if (mayHaveLapsed) {
-      state.lapsedUntilMs ??= now() + LAPSE_GRACE_MS;
+      state.lapsedUntilMs ??= now() + Math.max(0, drainMs() - LEARNING_MS);
       return;
     }
     drop(state, 'entry removed');
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -103,7 +103,7 @@
  */
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
   const {log, feed, kinds} = options;
-  const table = createEndpointTable(log);
+  const table = createEndpointTable(log, () => options.bounds().drainMs);
   const freshness = createFreshness();
   const metrics = createGatewayMetrics();
   const closing = new AbortController();
