--- a/packages/gateway/src/choose-path.ts
+++ b/packages/gateway/src/choose-path.ts
@@ -34,8 +34,6 @@
   /** Hosts whose load is not known; they are taken to be like this one. */
   readonly missingHosts: number;
   readonly nowMs: number;
-  /** Whether endpoints without memory for the request are passed over. */
-  readonly onlyWithRoom: boolean;
 }
 
 /**
@@ -66,6 +64,32 @@
   return route === undefined ? undefined : [...route];
 }
 
+/**
+ * Lists the layers that no endpoint could take for a request, for the log line
+ * of a refusal: `'20-40, 70-80'`.
+ *
+ * @example
+ * layersWithoutRoom(table.usable(service), profile, request);
+ */
+export function layersWithoutRoom(
+  endpoints: readonly EndpointState[],
+  profile: EngineProfile,
+  request: PathRequest,
+): string {
+  const ranges = endpoints
+    .map(state => candidateOf(state, profile, request))
+    .filter(candidate => candidate !== undefined)
+    .sort((a, b) => a.from - b.from);
+  const gaps: string[] = [];
+  let covered = 0;
+  for (const {from, to} of ranges) {
+    if (from > covered) gaps.push(`${covered}-${from}`);
+    covered = Math.max(covered, to);
+  }
+  if (covered < profile.layers) gaps.push(`${covered}-${profile.layers}`);
+  return gaps.join(', ');
+}
+
 /** Token memory of an endpoint that holds a number of layers: tokens x layers. */
 export function tokenLayerCapacity(
   profile: EngineProfile,
@@ -108,10 +132,6 @@
     slowness *
     (decodeMs * (1 + READ_SHARE * running) + readMs * kind.readFactor);
   const capacity = tokenLayerCapacity(profile, accelerator, held);
-  const needed = (promptTokens + answerTokens) * held;
-  if (request.onlyWithRoom && heldTokenLayers + needed > capacity) {
-    return undefined;
-  }
   const used = Math.min(MOST_USED, heldTokenLayers / Math.max(1, capacity));
   return {
     endpoint: {id, address, domain: state.domain},
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -25,6 +25,8 @@
   record: EndpointRecord;
   /** Index of its failure domain. */
   readonly domain: number;
+  /** When this host learned of it. */
+  readonly sinceMs: number;
   /** Requests of this host in progress there. */
   running: number;
   /** Memory that those requests hold: tokens times layers. */
@@ -124,6 +126,7 @@
     states.set(record.id, {
       record,
       domain: domainIndex(record.failureDomain),
+      sinceMs: now(),
       running: 0,
       heldTokenLayers: 0,
       othersRunning: 0,
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -1,7 +1,11 @@
 import {failure, pause, type EndpointId, type Failure} from '@chivewick/common';
 import type {Stage} from '@chivewick/engines';
 import {startAnswer} from './answers.js';
-import {choosePath, type PathRequest} from './choose-path.js';
+import {
+  choosePath,
+  layersWithoutRoom,
+  type PathRequest,
+} from './choose-path.js';
 import type {EndpointState} from './endpoint-table.js';
 import type {Ending, Exchange, ExchangeParts} from './exchange.js';
 import {createPathLoad} from './path-load.js';
@@ -95,7 +99,6 @@
       exclude,
       missingHosts: parts.missingHosts(),
       nowMs: performance.now(),
-      onlyWithRoom: true,
     };
   }
 
@@ -148,11 +151,7 @@
 
   /** Whether there is a path apart from endpoints that were full just now. */
   function isOnlyFull(usable: readonly EndpointState[]): boolean {
-    const request = {
-      ...pathRequest(),
-      nowMs: Infinity,
-      onlyWithRoom: false,
-    };
+    const request = {...pathRequest(), nowMs: Infinity};
     return choosePath(usable, profile, request) !== undefined;
   }
 
@@ -168,7 +167,9 @@
   }
 
   function noPath(usable: readonly EndpointState[]): Failure {
-    return failure('no_route', `no path over ${usable.length} endpoints`, {
+    const layers = layersWithoutRoom(usable, profile, pathRequest());
+    const message = `${usable.length} endpoints, no room for layers ${layers}`;
+    return failure('no_route', message, {
       retryAfterMs: RETRY_AFTER_MS,
     });
   }
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -14,7 +14,7 @@
 } from '@chivewick/gateway';
 import {createLease} from '@chivewick/orders';
 import type {ObjectStore} from '@chivewick/platform';
-import {planLayers, planMove} from './plan-layers.js';
+import {hasScarceLayers, planLayers, planMove} from './plan-layers.js';
 
 /**
  * Length of the lease. Placed layers serve without a holder; a lost one costs
@@ -30,6 +30,12 @@
 const TICK_MS = 300;
 /** At the start of a fleet, engines register within seconds of each other. */
 const SETTLE_MS = 700;
+/**
+ * In a rolling replacement the new engine starts first, and the old one leaves
+ * up to so long after it. While no layer is scarce the new one is kept empty, so
+ * that it takes the layers of the old one without a move.
+ */
+const REPLACEMENT_MS = 2_000;
 /** An order is taken for lost when the engine does not show it for this long. */
 const ORDER_LOST_MS = 12_000;
 const REPORT_TIMEOUT_MS = 300;
@@ -109,16 +115,29 @@
       accelerator: state.record.accelerator,
       layers: heldBy(state),
     }));
-    const plan = planLayers(engines, service.engine!);
-    await Promise.all(plan.map(({id, range}) => order(id, range)));
-    const isBusy = states.some(
-      state => isLoading(state) && !isSuspected(state.record.id),
-    );
-    if (plan.length > 0 || isBusy) return;
     // A dead engine stays listed for seconds; its layers are scarce at once.
     const alive = engines.filter(({id}) => !isSuspected(id));
+    const {loadsAtOnce} = service.engine!;
+    const isWaiting = !isBare && !hasScarceLayers(alive, service.engine!);
+    const planned = isWaiting ? alive.filter(({id}) => !isNew(id)) : alive;
+    const plan = planLayers(planned, service.engine!);
+    await Promise.all(plan.map(({id, range}) => order(id, range)));
+    if (plan.length > 0 || states.filter(isLoading).length >= loadsAtOnce) {
+      return;
+    }
     const move = planMove(alive, service.engine!);
-    if (move !== undefined) await order(move.id, move.range);
+    if (move === undefined) return;
+    const moving = states.find(state => state.record.id === move.id);
+    if (moving !== undefined && !isLoading(moving)) {
+      await order(move.id, move.range);
+    }
+  }
+
+  /** Whether an engine is empty and joined so lately that another may leave. */
+  function isNew(id: EndpointId): boolean {
+    const state = table.get(id);
+    if (state === undefined || heldBy(state) !== undefined) return false;
+    return performance.now() - state.sinceMs < REPLACEMENT_MS;
   }
 
   function isSuspected(id: EndpointId): boolean {
--- a/packages/placement/src/plan-layers.ts
+++ b/packages/placement/src/plan-layers.ts
@@ -71,6 +71,26 @@
   return orders;
 }
 
+/**
+ * Whether some layers have so little memory for tokens that they bound the fleet.
+ *
+ * @example
+ * if (hasScarceLayers(engines, profile)) order(planLayers(engines, profile));
+ */
+export function hasScarceLayers(
+  engines: readonly PlacedEngine[],
+  profile: EngineProfile,
+): boolean {
+  const cover = createCover(profile);
+  for (const engine of engines)
+    if (engine.layers !== undefined) cover.add(engine, engine.layers);
+  return isScarce(cover);
+}
+
+function isScarce(cover: Cover): boolean {
+  return cover.least() < SCARCE_PART * cover.mean();
+}
+
 /**
  * Plans the one move that most raises the memory for tokens of the scarcest
  * layers. Answers the loss of several engines with the same layers, which makes
@@ -89,7 +109,7 @@
   const placed = engines.filter(engine => engine.layers !== undefined);
   for (const engine of placed) cover.add(engine, engine.layers!);
   const least = cover.least();
-  if (least >= SCARCE_PART * cover.mean()) return undefined;
+  if (!isScarce(cover)) return undefined;
   let best: PlannedRange | undefined;
   let bestLeast = Math.max(least * LEAST_GAIN, Number.MIN_VALUE);
   for (const engine of placed) {
