--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export * from './bounded-logger.js';
 export * from './errors/index.js';
 export * from './grants.js';
 export * from './hash.js';
--- a/packages/placement/src/plan-layers.ts
+++ b/packages/placement/src/plan-layers.ts
@@ -18,9 +18,12 @@
  * Layers with less than this part of the mean memory for tokens are scarce: they
  * bound what the fleet can run at once.
  */
-const SCARCE_PART = 0.85;
-/** A move must raise the scarcest layers by this factor, since it costs a load. */
-const LEAST_GAIN = 1.1;
+const SCARCE_PART = 0.55;
+/**
+ * A move must raise the scarcest layers by this factor: until the streams that
+ * pass through have ended and the layers are loaded, the engine serves nothing.
+ */
+const LEAST_GAIN = 1.3;
 
 /** An engine to plan for. */
 export interface PlacedEngine {
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -6,7 +6,15 @@
 // Runs the compiled tests of all packages, or of those named as arguments.
 // Test files listed in KNOWN-RED.txt as `test: packages/x/test/y.test.ts` are
 // passed over and printed.
-const ROOTS = ['packages', 'stand-ins', 'system', 'bench', 'examples', 'fuzz'];
+const ROOTS = [
+  'packages',
+  'platform',
+  'stand-ins',
+  'system',
+  'bench',
+  'examples',
+  'fuzz',
+];
 const TEST_CONCURRENCY = 4;
 const TEST_TIMEOUT_MS = 240_000;
 
