Pause between sends that engines refuse for want of room

Three refusals within 80 ms used to end a request although room comes up every few dozen milliseconds.

--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -15,7 +15,11 @@
 /** A request with less time left is not worth sending. */
 const LEAST_TIME_MS = 50;
 /** Sends of one request that endpoints refuse without running it. */
-const MOST_REFUSALS = 3;
+const MOST_REFUSALS = 6;
+/** Refusals after which the next send goes out at once, over another path. */
+const QUICK_REFUSALS = 2;
+/** Pause after the first refusal beyond those; doubles with each further one. */
+const REFUSED_PAUSE_MS = 60;
 /** An endpoint that refused for want of room is passed over so long. */
 const FULL_MS = 250;
 const RETRY_AFTER_MS = 1_000;
@@ -87,6 +91,11 @@
       );
       const next = afterLeg(outcome, stages);
       if (next !== undefined) return next;
+      const refusals = sends - runs;
+      if (outcome.kind === 'refused' && refusals > QUICK_REFUSALS) {
+        await pause(REFUSED_PAUSE_MS * 2 ** (refusals - QUICK_REFUSALS - 1));
+        if (res.destroyed) return {kind: 'caller_left', sends};
+      }
     }
   } finally {
     load.release();
