--- a/packages/gateway/src/retry-allowance.ts
+++ b/packages/gateway/src/retry-allowance.ts
@@ -23,7 +23,8 @@
  * Creates this host's share of the retries that a service may get: a ratio of
  * this host's own requests, and an equal share of what is allowed beyond that.
  * Answers a service that fails as a whole, where every request would be sent
- * twice.
+ * twice. The equal share grows over the first window: the process before this one
+ * may have used its own up.
  *
  * @example
  * const allowance = createRetryAllowance({ratio: 0.2, extra: 200, windowMs: 10_000, hosts: () => 9});
@@ -41,6 +42,7 @@
   const now = options.now ?? (() => performance.now());
   const bucketMs = options.windowMs / BUCKETS;
   const windows = new Map<ServiceName, Window>();
+  const startMs = now();
 
   function windowOf(service: ServiceName): Window {
     const bucket = Math.floor(now() / bucketMs);
@@ -70,9 +72,9 @@
     },
     take(service) {
       const window = windowOf(service);
-      const allowed =
-        USED_PART *
-        (ratio * sum(window.requests) + extra / Math.max(1, hosts()));
+      const grown = Math.min(1, (now() - startMs) / options.windowMs);
+      const share = (grown * extra) / Math.max(1, hosts());
+      const allowed = USED_PART * (ratio * sum(window.requests) + share);
       if (sum(window.retries) + 1 > allowed) return false;
       window.retries[window.bucket % (BUCKETS + 1)] += 1;
       return true;
