--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import gts from 'gts';
 
 export default [
-  {ignores: ['**/dist/**', '**/node_modules/**']},
+  {ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**']},
   ...gts,
   {
     files: ['**/*.ts'],
