--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -3,7 +3,7 @@
 import type {Headers} from './types.js';
 
 /** Headers of one connection, which are not passed on (RFC 9110, 7.6.1). */
-const CONNECTION_HEADERS = new Set([
+export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   'connection',
   'keep-alive',
   'proxy-connection',
