--- a/packages/gateway/src/retry-allowance.ts
+++ b/packages/gateway/src/retry-allowance.ts
@@ -9,6 +9,8 @@
 export interface RetryAllowance {
   /** Counts a request of a caller. */
   requested(service: ServiceName): void;
+  /** Whether one more send could be taken now. */
+  hasOne(service: ServiceName): boolean;
   /** Takes one more send of the same request; false when there is none. */
   take(service: ServiceName): boolean;
 }
@@ -70,14 +72,20 @@
       const window = windowOf(service);
       window.requests[window.bucket % (BUCKETS + 1)] += 1;
     },
+    hasOne,
     take(service) {
+      if (!hasOne(service)) return false;
       const window = windowOf(service);
-      const grown = Math.min(1, (now() - startMs) / options.windowMs);
-      const share = (grown * extra) / Math.max(1, hosts());
-      const allowed = USED_PART * (ratio * sum(window.requests) + share);
-      if (sum(window.retries) + 1 > allowed) return false;
       window.retries[window.bucket % (BUCKETS + 1)] += 1;
       return true;
     },
   };
+
+  function hasOne(service: ServiceName): boolean {
+    const window = windowOf(service);
+    const grown = Math.min(1, (now() - startMs) / options.windowMs);
+    const share = (grown * extra) / Math.max(1, hosts());
+    const allowed = USED_PART * (ratio * sum(window.requests) + share);
+    return sum(window.retries) + 1 <= allowed;
+  }
 }
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -86,7 +86,19 @@
         lastEventId: progress.lastEventId,
       });
       const outcome = await runLeg(
-        {exchange, parts, profile, stages, load, progress, pathRequest},
+        {
+          exchange,
+          parts,
+          profile,
+          stages,
+          load,
+          progress,
+          pathRequest,
+          mayContinue: () =>
+            rule.resumable &&
+            runs + 1 < rule.maxEndpoints &&
+            parts.allowance.hasOne(service.name),
+        },
         headers => startAnswer(res, 200, headers),
       );
       const next = afterLeg(outcome, stages);
--- a/packages/gateway/src/stream-leg.ts
+++ b/packages/gateway/src/stream-leg.ts
@@ -42,6 +42,8 @@
   readonly load: PathLoad;
   readonly progress: StreamProgress;
   readonly pathRequest: () => PathRequest;
+  /** Whether another leg may follow; a silent last leg is not ended sooner. */
+  readonly mayContinue: () => boolean;
 }
 
 export type LegOutcome =
@@ -283,7 +285,7 @@
       if (faulty.size > 0) return repair([...faulty]);
       const mostMs = legEvents === 0 ? MOST_FIRST_SILENCE_MS : MOST_SILENCE_MS;
       if (performance.now() - lastSignMs > mostMs) {
-        give({kind: 'broken', reason: 'silent for an unknown reason'});
+        giveUp('silent for an unknown reason');
       }
     }
 
@@ -309,7 +311,7 @@
               profile,
               {...request, exclude: new Set([...request.exclude, ...replaced])},
             );
-      if (path === undefined) return give({kind: 'broken', reason, blamed});
+      if (path === undefined) return giveUp(reason, blamed);
       const outcome = await parts.control.repath(
         {id: stages[0].endpoint, address: stages[0].address},
         requestId,
@@ -337,7 +339,17 @@
           outcome.kind === 'conflict' && address === outcome.blamedAddress,
       );
       if (other !== undefined) return retryWithout(other, faulty);
-      give({kind: 'broken', reason: `repath: ${outcome.kind}`, blamed});
+      giveUp(`repath: ${outcome.kind}`, blamed);
+    }
+
+    /**
+     * Ends a silent leg, where the stream may go on in another. While the first
+     * stage lives, the next look may find room for a repair, which costs less.
+     */
+    function giveUp(reason: string, blamed?: EndpointState): void {
+      const silentMs = performance.now() - lastSignMs;
+      if (blamed !== first && silentMs < MOST_SILENCE_MS) return;
+      if (options.mayContinue()) give({kind: 'broken', reason, blamed});
     }
 
     function retryWithout(
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -262,3 +262,22 @@
   assert.deepEqual(paths, []);
   assert.ok(gateway.table.all().every(state => state.suspectedUntilMs === 0));
 });
+
+test('streams: a silent one that may not go on elsewhere is not ended sooner', async () => {
+  const first = await startEndpoint((socket, head) => {
+    socket.write(start(head) + chunk(events(1, 3)));
+    setTimeout(() => socket.end(chunk(events(4, 5)) + END), 600);
+  });
+  const {control} = createControl(
+    () => ['127.0.0.1:2'],
+    () => {},
+  );
+  const {port} = await startWorld({
+    config: streamRoute({resumable: false}),
+    control,
+    records: [half('first', first.address, 0), half('dead', '127.0.0.1:2', 40)],
+  });
+  const reply = await ask(port);
+  assert.equal(reply.body, events(1, 5));
+  assert.equal(reply.complete, true);
+});
