Choose silent endpoints where the usable ones do not cover the model

Cause: on a busy machine all three replicas of a stage miss two status polls of 500 ms in a row.

Ruled out: the two killed engines; their polls are refused, and the third replica was alive in every log.

An endpoint whose polls time out, or that broke a request, is now chosen as a last resort. One that refuses polls or whose breaker is open still is not. A request that fails on such an endpoint loses no more than one refused.

--- a/packages/routes/src/directory.ts
+++ b/packages/routes/src/directory.ts
@@ -3,6 +3,7 @@
   ok,
   PREFIX_BLOCK_TOKENS,
   type EndpointId,
+  type Failure,
   type FailureDomain,
   type Random,
   type Result,
@@ -15,6 +16,7 @@
   applyStatus,
   countOwn,
   createEndpoint,
+  isDoubtful,
   isUsable,
   type Endpoint,
 } from './endpoint.js';
@@ -49,7 +51,7 @@
   get(endpoint: EndpointId): Endpoint | undefined;
   all(): Iterable<Endpoint>;
   report(status: EngineStatus): void;
-  pollFailed(endpoint: EndpointId): void;
+  pollFailed(endpoint: EndpointId, err: Failure): void;
   cacheEvents(
     endpoint: EndpointId,
     batch: {events: readonly CacheEvent[]; next: number},
@@ -105,11 +107,11 @@
       layers,
     });
     addHolders(sample, blocks, req);
-    const route = searchRoute(candidatesOf(sample, blocks, req), {
-      layers,
-      linkUs: (from = home, to) =>
-        2 * EXPECTED_TOKENS * links.oneWayUs(from, to),
-    });
+    const linkUs = (from = home, to: number) =>
+      2 * EXPECTED_TOKENS * links.oneWayUs(from, to);
+    const search = (from: readonly Endpoint[]) =>
+      searchRoute(candidatesOf(from, blocks, req), {layers, linkUs});
+    const route = search(sample) ?? search([...sample, ...lastResort(req)]);
     if (route !== undefined) return ok(route);
     return fail(
       'no_route',
@@ -117,6 +119,22 @@
     );
   }
 
+  /**
+   * Endpoints under suspicion, for a model that the others do not cover: a busy
+   * machine makes all replicas of a stage miss their polls together, and a
+   * request that fails on a suspect loses no more than one that is refused.
+   */
+  function lastResort({model, version, exclude}: RouteRequest): Endpoint[] {
+    const doubtful: Endpoint[] = [];
+    for (const endpoint of table.values()) {
+      const {status} = endpoint;
+      if (isUsable(endpoint) || !isDoubtful(endpoint)) continue;
+      if (status?.model !== model || status.version !== version) continue;
+      if (!exclude.has(endpoint.id)) doubtful.push(endpoint);
+    }
+    return doubtful;
+  }
+
   /** Adds endpoints that hold KV or the prefix, which a sample may miss. */
   function addHolders(
     sample: Endpoint[],
@@ -229,7 +247,8 @@
     all: () => table.values(),
     report: status =>
       change(status.endpoint, endpoint => applyStatus(endpoint, status, now())),
-    pollFailed: key => change(key, applyPollFailure),
+    pollFailed: (key, err) =>
+      change(key, endpoint => applyPollFailure(endpoint, err)),
     cacheEvents: (key, {events, next}) =>
       table.get(key)?.cache.apply(events, next),
     choose,
--- a/packages/routes/src/endpoint.ts
+++ b/packages/routes/src/endpoint.ts
@@ -1,4 +1,4 @@
-import type {EndpointId, FailureDomain} from '@chivewick/common';
+import type {EndpointId, FailureDomain, Failure} from '@chivewick/common';
 import type {EngineStatus} from '@chivewick/engines';
 import type {Holders} from './holders.js';
 import type {Breaker} from '@chivewick/retries';
@@ -24,6 +24,8 @@
   loadAtMs: number;
   pollFailures: number;
   failed: boolean;
+  /** Whether the last failed poll was refused, in place of timing out. */
+  refuses: boolean;
   ownRunning: number;
   /** Starts (+1) and finishes (-1) of this host, newest last. */
   ownChanges: {atMs: number; delta: number; tokens: number}[];
@@ -58,6 +60,7 @@
     loadAtMs: 0,
     pollFailures: 0,
     failed: false,
+    refuses: false,
     ownRunning: 0,
     ownChanges: [],
     ownSinceReport: 0,
@@ -99,6 +102,23 @@
   );
 }
 
+/**
+ * Whether an endpoint that is not usable may work all the same: it was silent
+ * or broke a request, but most of its requests succeed and its address does not
+ * refuse polls.
+ *
+ * @example
+ * const lastResort = all.filter(isDoubtful);
+ */
+export function isDoubtful(endpoint: Endpoint): boolean {
+  return (
+    endpoint.status !== undefined &&
+    !endpoint.refuses &&
+    !isLeaving(endpoint) &&
+    endpoint.breaker.allows()
+  );
+}
+
 /**
  * Takes over a status report. A leaving sign holds until another instance
  * reports itself live, because a report may be older than the sign.
@@ -118,6 +138,7 @@
   endpoint.slowness = 1 + SLOWNESS_KEPT * (endpoint.slowness - 1);
   endpoint.pollFailures = 0;
   endpoint.failed = false;
+  endpoint.refuses = false;
   if (status.state === 'leaving' || endpoint.leavingInstance === '?')
     endpoint.leavingInstance = status.instance;
   else if (endpoint.leavingInstance !== status.instance)
@@ -143,10 +164,11 @@
  * a poll succeeds.
  *
  * @example
- * applyPollFailure(endpoint);
+ * applyPollFailure(endpoint, res.err);
  */
-export function applyPollFailure(endpoint: Endpoint): void {
+export function applyPollFailure(endpoint: Endpoint, err: Failure): void {
   endpoint.pollFailures += 1;
+  endpoint.refuses = err.kind !== 'deadline_exceeded';
   if (endpoint.pollFailures >= POLL_FAILURES_UNTIL_FAILED)
     endpoint.failed = true;
 }
--- a/packages/routes/src/table.ts
+++ b/packages/routes/src/table.ts
@@ -1,4 +1,5 @@
 import {
+  failure,
   rendezvousOrder,
   type EndpointId,
   type HostId,
@@ -120,8 +121,12 @@
     const res = await engines.status(address, POLL_TIMEOUT_MS);
     const endpoint = directory.get(endpointId);
     if (endpoint?.address !== address) return;
-    if (!res.ok || res.value.endpoint !== endpointId)
-      return directory.pollFailed(endpointId);
+    if (!res.ok) return directory.pollFailed(endpointId, res.err);
+    if (res.value.endpoint !== endpointId) {
+      const message = `${address} answers for ${res.value.endpoint}`;
+      const err = failure('endpoint_failed', message);
+      return directory.pollFailed(endpointId, err);
+    }
     directory.report(res.value);
     if (number % POLLS_PER_EVENT_READ !== 0) return;
     const events = await engines.cacheEvents(address, endpoint.cache.cursor);
--- a/packages/routes/test/directory.test.ts
+++ b/packages/routes/test/directory.test.ts
@@ -2,8 +2,10 @@
 import {test} from 'node:test';
 import {
   createRandom,
+  failure,
   id,
   type EndpointId,
+  type Failure,
   type FailureDomain,
 } from '@chivewick/common';
 import type {EngineStatus, Route} from '@chivewick/engines';
@@ -137,6 +139,45 @@
   assert.equal(usable(), true);
 });
 
+const SILENT = failure('deadline_exceeded', 'no status in 500 ms');
+const REFUSING = failure('endpoint_failed', 'connection refused');
+const SUSPECTS: {
+  name: string;
+  err: Failure;
+  others: readonly EngineStatus[];
+  chosen: string | undefined;
+}[] = [
+  {name: 'silent and the last one', err: SILENT, others: [], chosen: 'suspect'},
+  {
+    name: 'refusing and the last one',
+    err: REFUSING,
+    others: [],
+    chosen: undefined,
+  },
+  {
+    name: 'silent beside a usable one',
+    err: SILENT,
+    others: [statusOf('usable', SECOND, {decodeUs: 900})],
+    chosen: 'usable',
+  },
+];
+for (const {name, err, others, chosen} of SUSPECTS)
+  test(`choice with an endpoint that is ${name}`, () => {
+    const suspect = statusOf('suspect', SECOND);
+    const directory = directoryOf([
+      statusOf('head', FIRST),
+      suspect,
+      ...others,
+    ]);
+    directory.pollFailed(suspect.endpoint, err);
+    directory.pollFailed(suspect.endpoint, err);
+    for (let choice = 0; choice < CHOICES; choice++) {
+      const res = directory.choose(requestOf());
+      const last = res.ok ? res.value.at(-1)?.endpoint : undefined;
+      assert.equal(last, chosen);
+    }
+  });
+
 test('a prefix cached elsewhere is found, also after late events with gaps', () => {
   const names = Array.from({length: 40}, (_, index) => `e${index}`);
   const directory = directoryOf(names.map(name => statusOf(name, ALL)));
