Blame no stage when none of them is heard; wait for a route until the limit

It then gave the stream up after 3.2 s of silence instead of 10 s, since the delay of the next choice doubled without a bound in the comparison with the limit.

Ruled out: quarantine; the frozen engine itself, which was replaced at once.

A probe round without any answer is now believed when it happens three times in a row, and the delay before a choice is a bounded function of its own.

--- a/packages/pipeline/src/probe.ts
+++ b/packages/pipeline/src/probe.ts
@@ -84,6 +84,17 @@
   return state.ok || state.err.kind === 'gone';
 }
 
+/**
+ * Whether a stage gave no answer at all in the time it had.
+ *
+ * @example
+ * const cutOff = answers.every(isSilent);
+ */
+export function isSilent({state}: ProbeAnswer): boolean {
+  if (state === undefined) return true;
+  return !state.ok && state.err.kind === 'deadline_exceeded';
+}
+
 /** Position of a stage; -1 when it does not know the session. */
 function position({state}: ProbeAnswer): number {
   return state?.ok ? state.value.position : -1;
--- a/packages/pipeline/src/recover.ts
+++ b/packages/pipeline/src/recover.ts
@@ -192,14 +192,30 @@
   run: Run,
   signal: AbortSignal,
 ): Promise<Result<Route>> {
-  for (let delayMs = NO_ROUTE_DELAY_MS; ; delayMs *= 2) {
+  for (let choices = 0; ; choices++) {
     const route = chooseNextRoute(ctx, run);
     if (route.ok) return ok(route.value);
     const silentMs = performance.now() - (run.troubleMs ?? 0);
-    if (silentMs + delayMs > ctx.limits.silenceMs || signal.aborted)
-      return route;
-    await sleep(Math.min(delayMs, MAX_NO_ROUTE_DELAY_MS), undefined, {
-      signal,
-    }).catch(() => {});
+    const delayMs = delayBeforeChoice(choices, silentMs, ctx.limits.silenceMs);
+    if (delayMs === 0 || signal.aborted) return route;
+    await sleep(delayMs, undefined, {signal}).catch(() => {});
   }
 }
+
+/**
+ * Time before the next choice of a route, in milliseconds; 0 when the request
+ * has been silent for too long. Endpoints that were only busy are back soon, so
+ * the delay begins small and doubles.
+ *
+ * @example
+ * delayBeforeChoice(2, 60, 10_000); // 80
+ */
+export function delayBeforeChoice(
+  choices: number,
+  silentMs: number,
+  silenceMs: number,
+): number {
+  const delayMs = NO_ROUTE_DELAY_MS * 2 ** choices;
+  const leftMs = silenceMs - silentMs;
+  return Math.max(0, Math.min(delayMs, MAX_NO_ROUTE_DELAY_MS, leftMs));
+}
--- a/packages/pipeline/src/stall-watch.ts
+++ b/packages/pipeline/src/stall-watch.ts
@@ -3,6 +3,7 @@
 import type {EngineFrame} from '@chivewick/engines';
 import {
   isPresent,
+  isSilent,
   laggardOf,
   probeStages,
   progressOf,
@@ -10,6 +11,14 @@
 } from './probe.js';
 import type {Context, Run, StageFault} from './run-state.js';
 
+/**
+ * Rounds of probes without any answer before the stages are held to be at
+ * fault. Engines seldom stop at the same moment; a host that is starved of
+ * processor time or cut off hears from none of them. Three rounds take at most
+ * 0.75 s plus the pace of the stream.
+ */
+const SILENT_ROUNDS = 3;
+
 export type WatchedRead =
   | {readonly kind: 'frame'; readonly frame: EngineFrame}
   | {readonly kind: 'broken'}
@@ -39,17 +48,23 @@
   const {limits} = ctx;
   let progress = '';
   let idleRounds = 0;
+  let silentRounds = 0;
   let laggard: EndpointId | undefined;
   let lateTokens = 0;
 
   const judge = (answers: readonly ProbeAnswer[]): StageFault[] => {
     const lost = answers.filter(answer => !isPresent(answer));
+    silentRounds =
+      answers.length > 1 && answers.every(isSilent) ? silentRounds + 1 : 0;
+    if (silentRounds > 0 && silentRounds < SILENT_ROUNDS) {
+      run.troubleMs ??= performance.now();
+      return [];
+    }
     if (lost.length > 0)
-      return lost.map(({endpoint, state}) => {
-        const broken =
-          state?.ok === false && state.err.kind !== 'deadline_exceeded';
-        return {endpoint, cause: broken ? 'broken' : 'silent'};
-      });
+      return lost.map(answer => ({
+        endpoint: answer.endpoint,
+        cause: isSilent(answer) ? 'silent' : 'broken',
+      }));
     const seen = progressOf(answers);
     laggard = laggardOf(answers, run.tokens.length);
     if (seen !== progress) {
--- a/packages/pipeline/test/recovery.test.ts
+++ b/packages/pipeline/test/recovery.test.ts
@@ -1,3 +1,4 @@
+import {fail} from '@chivewick/common';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import type {EngineStandIn} from '@chivewick/stand-ins';
@@ -152,6 +153,32 @@
     NO_STALLS,
   ));
 
+test('recovery: no stage is blamed when none of them is heard for a moment', () =>
+  withFleet(async fleet => {
+    const slow = fleet.engines[1][0];
+    let silentProbes = 2 * fleet.engines.length;
+    const host = fleet.host(
+      {},
+      {
+        session(address, session, timeoutMs) {
+          if (silentProbes === 0)
+            return fleet.api.session(address, session, timeoutMs);
+          silentProbes -= 1;
+          if (silentProbes === 0) slow.setFaults({freeze: false});
+          return Promise.resolve(fail('deadline_exceeded', 'no answer'));
+        },
+      },
+    );
+    const request = makeRequest({maxTokens: 16});
+    const got = await collect(host.run(request, NEVER), count => {
+      if (count === FAULT_AT_TOKEN) slow.setFaults({freeze: true});
+    });
+    assert.deepEqual(got.tokens, wantedTokens(request));
+    assert.equal(silentProbes, 0);
+    const blamed = fleet.observed.filter(({kind}) => kind === 'failed');
+    assert.deepEqual(blamed, []);
+  }, 1));
+
 const BOUNDS = [
   {
     name: 'no endpoint is left',
