Bound what callers send, and send begun streams again until their caller leaves

Callers: the header limit of the configuration was not used, slow headers were looked for every 30 s only, a body could take five minutes, and a key removed while a body arrived still worked. The server of callers is a module of its own, answers what its parser rejects with a log line, and admits a request again whose body took long.

Plain requests: a failed answer is kept and passed on where the next run gives none; it became a 502 of our own. Sends and runs are counted in one place.

A test of the stop relied on a request being in flight by chance; it now holds one itself.

--- a/packages/common/src/log-events/gateway.ts
+++ b/packages/common/src/log-events/gateway.ts
@@ -29,6 +29,11 @@
     message: 'pipeline path changed in mid-stream',
   },
   callerLeft: {number: 1015, level: 'info', message: 'caller left'},
+  inputRejected: {
+    number: 1016,
+    level: 'info',
+    message: 'input of a caller is no request',
+  },
   storeLost: {number: 1020, level: 'warn', message: 'store unavailable'},
   storeRegained: {number: 1021, level: 'info', message: 'store available'},
   feedHistoryLost: {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
-import {createRandom, type HostId, type Logger} from '@chivewick/common';
+import {createRandom, pause, type HostId, type Logger} from '@chivewick/common';
 import type {ObjectFeed, StoredObject} from '@chivewick/platform';
 import {createServer, type Server} from 'node:http';
+import {createCallerServer} from './caller-server.js';
 import {createEndpointTable, type EndpointTable} from './endpoint-table.js';
 import type {ExchangeParts} from './exchange.js';
 import type {Fleet} from './fleet.js';
@@ -14,7 +15,6 @@
 import {createRetryAllowance} from './retry-allowance.js';
 import {createRouting, type Routing} from './routing.js';
 import type {
-  CallerLimits,
   Dialect,
   EndpointRecord,
   EngineControl,
@@ -37,13 +37,6 @@
 const ENDPOINT_POLL_MS = 2_000;
 /** Changes of endpoints gathered into one answer; well under the drain bound. */
 const GATHER_MS = 400;
-/** Before the first configuration says what callers may send. */
-const FIRST_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
 /** The balancer takes a host out after two checks a second apart. */
 const LEAVE_ROTATION_MS = 2_500;
 /** Time that the end of the process takes, off the time before it is forced. */
@@ -116,7 +109,6 @@
     once: Infinity,
     stream: Infinity,
   };
-  let running = 0;
 
   const bounds = options.bounds();
   const loadExchange = await startLoadExchange({
@@ -185,31 +177,13 @@
     stopping: () => stopping,
     accepts: kind => performance.now() < acceptUntilMs[kind],
   });
-  const callers = createServer(
-    {
-      maxHeaderSize: FIRST_LIMITS.maxHeaderBytes,
-      keepAliveTimeout: FIRST_LIMITS.idleTimeoutMs,
-      headersTimeout: FIRST_LIMITS.headerTimeoutMs,
-      noDelay: true,
-    },
-    (req, res) => {
-      running += 1;
-      res.once('close', () => (running -= 1));
-      handle(req, res).catch((err: unknown) => {
-        log.event('requestNotServed', {
-          error: 'internal',
-          message: String(err),
-        });
-        res.destroy();
-      });
-    },
-  );
+  const callers = createCallerServer({handle, log});
   const readiness = createServer((_req, res) => {
     res.statusCode = isReady() ? 200 : 503;
     res.end();
   });
-  const servers = [callers, readiness];
-  await listen(callers, options.addresses.callers);
+  const servers = [callers.server, readiness];
+  await listen(callers.server, options.addresses.callers);
   await listen(readiness, options.addresses.readiness);
   if (options.addresses.metrics !== undefined) {
     const metricsServer = createServer((_req, res) => {
@@ -246,8 +220,7 @@
     if (config === undefined) return;
     configObjectVersion = object.version;
     routing = createRouting(config);
-    callers.keepAliveTimeout = config.limits.idleTimeoutMs;
-    callers.headersTimeout = config.limits.headerTimeoutMs;
+    callers.setLimits(config.limits);
     log.event('configAdopted', {
       configVersion: config.version,
       storeVersion: object.version,
@@ -261,18 +234,18 @@
     stopping = true;
     const startMs = performance.now();
     const elapsedMs = () => performance.now() - startMs;
-    log.event('gatewayStopping', {running});
+    log.event('gatewayStopping', {running: callers.running()});
     const {graceMs} = options.bounds();
     const lastPlainMs = startMs + graceMs - LAST_PLAIN_MS;
     acceptUntilMs.stream = startMs + LEAVE_ROTATION_MS;
     acceptUntilMs.once = lastPlainMs;
     acceptUntilMs.repeatable = lastPlainMs;
-    const step = () => new Promise(done => setTimeout(done, STOP_STEP_MS));
-    while (elapsedMs() < LEAVE_ROTATION_MS) await step();
+    while (elapsedMs() < LEAVE_ROTATION_MS) await pause(STOP_STEP_MS);
     // New connections are still taken, to tell callers to go elsewhere.
-    while (running > 0 && elapsedMs() < graceMs - END_MARGIN_MS) await step();
+    while (callers.running() > 0 && elapsedMs() < graceMs - END_MARGIN_MS)
+      await pause(STOP_STEP_MS);
     log.event('gatewayStopped', {
-      running,
+      running: callers.running(),
       elapsedMs: Math.round(elapsedMs()),
     });
     await close();
--- a/packages/gateway/src/handle-request.ts
+++ b/packages/gateway/src/handle-request.ts
@@ -1,4 +1,5 @@
 import {
+  ERROR_ANSWERS,
   failure,
   id,
   pause,
@@ -9,11 +10,13 @@
 import {answerFailure} from './answers.js';
 import type {Ending, Exchange, ExchangeParts} from './exchange.js';
 import type {Freshness} from './freshness.js';
-import {readBody} from './read-body.js';
+import {headerBytes} from './caller-server.js';
+import {readBody, type Body} from './read-body.js';
 import {pickTarget, type Routing} from './routing.js';
 import {servePlain} from './serve-plain.js';
 import {serveStream} from './serve-stream.js';
 import type {
+  CallerLimits,
   HostBounds,
   RequestFacts,
   RequestKind,
@@ -73,34 +76,48 @@
     const arrivedMs = performance.now();
     const facts = parts.dialect.readRequest(req.headers);
     if (options.stopping()) res.setHeader('connection', 'close');
-    const admission = await admit(options, req, facts);
+    let admission = await admit(options, req, facts);
     if (!admission.ok) return refuse(req, res, facts, admission.err, arrivedMs);
-    const admitted = admission.value;
+    const {rule: firstRule} = admission.value;
+    const timeMs = Math.min(
+      firstRule.timeoutMs,
+      facts.deadlineMs ?? firstRule.timeoutMs,
+    );
+    const deadlineAtMs = arrivedMs + timeMs;
     const {limits} = options.routing()!.config;
-    const body = await readBody(req, limits.maxBodyBytes);
-    if (body.kind === 'aborted') return;
-    if (body.kind === 'too_large') {
-      const err = failure(
-        'body_too_large',
-        `over ${limits.maxBodyBytes} bytes`,
-      );
-      return refuse(req, res, facts, err, arrivedMs);
+    const body = await readBody(req, {
+      maxBytes: limits.maxBodyBytes,
+      idleMs: limits.idleTimeoutMs,
+      untilMs: deadlineAtMs,
+    });
+    if (body.kind === 'aborted') {
+      return parts.log.event('callerLeft', {
+        requestId: facts.requestId,
+        sends: 0,
+        elapsedMs: Math.round(performance.now() - arrivedMs),
+      });
     }
-    if (facts.requestId === undefined) {
-      const err = failure('invalid_request', 'the request has no id');
-      return refuse(req, res, facts, err, arrivedMs);
+    const invalid = findInvalid(body, facts, limits);
+    if (invalid !== undefined)
+      return refuse(req, res, facts, invalid, arrivedMs);
+    if (performance.now() - arrivedMs > AGE_MARGIN_MS) {
+      // The key or the route may have gone while the body arrived.
+      admission = await admit(options, req, facts);
+      if (!admission.ok) {
+        return refuse(req, res, facts, admission.err, arrivedMs);
+      }
     }
-    const {rule, service} = admitted;
-    const timeMs = Math.min(rule.timeoutMs, facts.deadlineMs ?? rule.timeoutMs);
+    const admitted = admission.value;
+    const {service} = admitted;
     const exchange: Exchange = {
       req,
       res,
-      requestId: id<RequestId>(facts.requestId),
+      requestId: id<RequestId>(facts.requestId!),
       facts,
       ...admitted,
-      body: body.bytes,
+      body: body.kind === 'read' ? body.bytes : undefined,
       arrivedMs,
-      deadlineAtMs: arrivedMs + timeMs,
+      deadlineAtMs,
     };
     parts.allowance.requested(service.name);
     const ending =
@@ -172,6 +189,24 @@
   }
 }
 
+/** Why a request that was read cannot be served at all. */
+function findInvalid(
+  body: Body,
+  facts: RequestFacts,
+  {maxBodyBytes}: CallerLimits,
+): Failure | undefined {
+  if (body.kind === 'too_large') {
+    return failure('body_too_large', `over ${maxBodyBytes} bytes`);
+  }
+  if (body.kind === 'too_slow') {
+    return failure('request_timeout', 'the body did not arrive in time');
+  }
+  if (facts.requestId === undefined) {
+    return failure('invalid_request', 'the request has no id');
+  }
+  return undefined;
+}
+
 /** Finds the route and the workspace of a request, and a service for it. */
 async function admit(
   options: HandlerOptions,
@@ -181,6 +216,10 @@
   if (options.routing() === undefined) {
     return refusal('platform_unavailable', 'no configuration yet');
   }
+  const {maxHeaderBytes} = options.routing()!.config.limits;
+  if (headerBytes(req.rawHeaders) > maxHeaderBytes) {
+    return refusal('headers_too_large', `over ${maxHeaderBytes} bytes`);
+  }
   const {strictRevocation, revokeMs} = options.bounds();
   const oldestMs = revokeMs - AGE_MARGIN_MS;
   const host = req.headers.host ?? '';
@@ -225,10 +264,9 @@
 }
 
 function refusal(kind: Failure['kind'], message: string): Admission {
-  const retryAfterMs =
-    kind === 'not_found' || kind === 'unauthenticated'
-      ? undefined
-      : ELSEWHERE_RETRY_AFTER_MS;
+  const retryAfterMs = ERROR_ANSWERS[kind].retry
+    ? ELSEWHERE_RETRY_AFTER_MS
+    : undefined;
   return {ok: false, err: failure(kind, message, {retryAfterMs})};
 }
 
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -1,5 +1,6 @@
 import {failure, type EndpointId, type Failure} from '@chivewick/common';
 import {startAnswer} from './answers.js';
+import {createAttempts} from './attempts.js';
 import {chooseEndpoint} from './choose-endpoint.js';
 import {observeLatency, type EndpointState} from './endpoint-table.js';
 import type {Ending, Exchange, ExchangeParts} from './exchange.js';
@@ -17,8 +18,15 @@
 const FAILURES_UNTIL_SUSPECTED = 3;
 const RETRY_AFTER_MS = 300;
 
+interface Answer {
+  readonly kind: 'answer';
+  readonly status: number;
+  readonly headers: Headers;
+  readonly body: Buffer;
+}
+
 type Outcome =
-  | {kind: 'answer'; status: number; headers: Headers; body: Buffer}
+  | Answer
   | {kind: 'not_run'; reason: string; full: boolean}
   | {kind: 'unknown'; reason: string}
   | {kind: 'deadline'; sent: boolean}
@@ -35,44 +43,50 @@
 ): Promise<Ending> {
   const {rule, service, requestId} = exchange;
   const tried = new Set<EndpointId>();
-  let runs = 0;
-  let sends = 0;
-  let lastFailure: Failure | undefined;
+  const attempts = createAttempts(RETRY_AFTER_MS);
+  let failedAnswer: Answer | undefined;
   for (;;) {
     const leftMs = exchange.deadlineAtMs - performance.now();
-    if (leftMs < LEAST_TIME_MS) return ended(lastFailure ?? tooLate());
+    if (leftMs < LEAST_TIME_MS) return ended(tooLate());
     const usable = parts.table.usable(service.name);
     const draw = parts.random.next();
     const state =
       chooseEndpoint(usable, tried, performance.now(), draw) ??
-      (runs === 0 ? anyRegistered(exchange, parts, tried) : undefined);
-    if (state === undefined) {
-      return ended(lastFailure ?? noEndpoint(usable.length, tried.size));
-    }
-    if (sends > 0 && !parts.allowance.take(service.name)) {
-      return ended(lastFailure ?? noEndpoint(usable.length, tried.size));
+      (attempts.runs === 0 ? anyRegistered(exchange, parts, tried) : undefined);
+    const maySend = attempts.sends === 0 || parts.allowance.take(service.name);
+    if (state === undefined || !maySend) {
+      return ended(noEndpoint(usable.length, tried.size));
     }
     tried.add(state.record.id);
-    sends += 1;
+    attempts.sent();
     const outcome = await sendOnce(exchange, parts, state);
+    const next = afterSend(outcome, state);
+    if (next !== undefined) return next;
+  }
+
+  /** How the request ends after a send; undefined where another one follows. */
+  function afterSend(
+    outcome: Outcome,
+    state: EndpointState,
+  ): Ending | undefined {
+    const {sends} = attempts;
     if (outcome.kind === 'caller_left') return {kind: 'caller_left', sends};
     if (outcome.kind === 'deadline') {
-      return ended(
-        outcome.sent || runs > 0
-          ? failure('deadline_exceeded', 'no answer before the deadline')
-          : tooLate(),
+      const mayHaveRun = outcome.sent || attempts.runs > 0;
+      if (!mayHaveRun) return ended(tooLate());
+      return failed(
+        failure('deadline_exceeded', 'no answer before the deadline'),
       );
     }
     if (outcome.kind === 'answer') {
-      const again =
-        outcome.status >= 500 &&
-        rule.kind === 'repeatable' &&
-        runs + 1 < rule.maxEndpoints;
-      if (!again) return deliver(exchange, outcome, sends);
-      runs += 1;
-      const next = await retryAnswer(outcome);
-      if (next !== undefined) return next;
-      continue;
+      const mayRepeat =
+        rule.kind === 'repeatable' && attempts.runs + 1 < rule.maxEndpoints;
+      if (outcome.status < 500 || !mayRepeat) {
+        return deliver(exchange, outcome, sends);
+      }
+      failedAnswer ??= outcome;
+      attempts.mayHaveRun(`answered ${outcome.status}`);
+      return undefined;
     }
     parts.log.event('requestResent', {
       requestId,
@@ -83,44 +97,32 @@
     });
     parts.metrics.resent.inc({reason: outcome.kind});
     if (outcome.kind === 'not_run') {
-      if (runs === 0) {
-        lastFailure = failure('overloaded', outcome.reason, {
-          retryAfterMs: RETRY_AFTER_MS,
-        });
-      }
-      if (sends - runs >= MOST_REFUSALS) return ended(lastFailure!);
-      continue;
-    }
-    runs += 1;
-    lastFailure = failure('outcome_unknown', outcome.reason);
-    if (rule.kind !== 'repeatable' || runs >= rule.maxEndpoints) {
-      return ended(lastFailure);
+      attempts.refused(outcome.reason);
+      const isLast = attempts.refusals >= MOST_REFUSALS;
+      return isLast ? ended(tooLate()) : undefined;
     }
+    attempts.mayHaveRun(outcome.reason);
+    const mayRepeat =
+      rule.kind === 'repeatable' && attempts.runs < rule.maxEndpoints;
+    return mayRepeat ? undefined : ended(tooLate());
   }
 
+  /** Ends with what is known of the sends, or else with `err`. */
   function ended(err: Failure): Ending {
-    return {kind: 'failed', err, sends};
+    return failed(attempts.failureOr(err));
   }
 
-  /** Passes a failed answer on where it cannot be asked for again. */
-  async function retryAnswer(
-    answer: Extract<Outcome, {kind: 'answer'}>,
-  ): Promise<Ending | undefined> {
-    const usable = parts.table.usable(service.name);
-    const other = usable.some(state => !tried.has(state.record.id));
-    const leftMs = exchange.deadlineAtMs - performance.now();
-    if (!other || leftMs < LEAST_TIME_MS)
-      return deliver(exchange, answer, sends);
-    lastFailure = failure('endpoint_failed', `answered ${answer.status}`);
-    return undefined;
+  /** A failed answer of an endpoint says more than a failure of this host. */
+  function failed(err: Failure): Ending {
+    const {sends} = attempts;
+    if (failedAnswer !== undefined) {
+      return deliver(exchange, failedAnswer, sends);
+    }
+    return {kind: 'failed', err, sends};
   }
 }
 
-function deliver(
-  {res}: Exchange,
-  answer: Extract<Outcome, {kind: 'answer'}>,
-  sends: number,
-): Ending {
+function deliver({res}: Exchange, answer: Answer, sends: number): Ending {
   startAnswer(res, answer.status, answer.headers);
   const noBody = answer.status === 204 || answer.status === 304;
   if (!noBody) res.setHeader('content-length', answer.body.length);
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -1,6 +1,7 @@
 import {failure, pause, type EndpointId, type Failure} from '@chivewick/common';
 import type {Stage} from '@chivewick/engines';
 import {startAnswer} from './answers.js';
+import {createAttempts} from './attempts.js';
 import {
   choosePath,
   layersWithoutRoom,
@@ -20,6 +21,8 @@
 const QUICK_REFUSALS = 2;
 /** Pause after the first refusal beyond those; doubles with each further one. */
 const REFUSED_PAUSE_MS = 60;
+/** A caller leaves after two seconds of silence, so a pause is a part of that. */
+const MOST_REFUSED_PAUSE_MS = 500;
 /** An endpoint that refused for want of room is passed over so long. */
 const FULL_MS = 250;
 const RETRY_AFTER_MS = 1_000;
@@ -56,33 +59,29 @@
     longestGapMs: 0,
   };
   const exclude = new Set<EndpointId>();
-  let runs = 0;
-  let sends = 0;
-  let lastFailure: Failure | undefined;
+  const attempts = createAttempts(RETRY_AFTER_MS);
   try {
     for (;;) {
       const leftMs = exchange.deadlineAtMs - performance.now();
-      if (leftMs < LEAST_TIME_MS) return ended(lastFailure ?? timedOut());
+      if (leftMs < LEAST_TIME_MS) return ended(timedOut());
       const usable = parts.table.usable(service.name);
       const stages = choosePath(usable, profile, pathRequest());
-      if (stages === undefined) {
-        const waitedMs = performance.now() - exchange.arrivedMs;
-        const mayWait = waitedMs < MOST_WAIT_MS && isOnlyFull(usable);
-        if (!mayWait) return ended(lastFailure ?? noPath(usable));
+      const maySend =
+        attempts.sends === 0 || parts.allowance.hasOne(service.name);
+      if (stages === undefined || !maySend) {
+        if (!mayWait(usable)) return ended(noPath(usable));
         await pause(WAIT_STEP_MS);
-        if (res.destroyed) return {kind: 'caller_left', sends};
+        if (res.destroyed) return callerLeft();
         continue;
       }
-      if (sends > 0 && !parts.allowance.take(service.name)) {
-        return ended(lastFailure ?? noPath(usable));
-      }
-      sends += 1;
+      if (attempts.sends > 0) parts.allowance.take(service.name);
+      attempts.sent();
       load.move(stages);
       parts.log.event('pathChosen', {
         requestId,
         stages: describe(stages),
         usable: usable.length,
-        send: sends,
+        send: attempts.sends,
         lastEventId: progress.lastEventId,
       });
       const outcome = await runLeg(
@@ -96,18 +95,16 @@
           pathRequest,
           mayContinue: () =>
             rule.resumable &&
-            runs + 1 < rule.maxEndpoints &&
+            attempts.runs + 1 < rule.maxEndpoints &&
             parts.allowance.hasOne(service.name),
         },
         headers => startAnswer(res, 200, headers),
       );
       const next = afterLeg(outcome, stages);
       if (next !== undefined) return next;
-      const refusals = sends - runs;
-      if (outcome.kind === 'refused' && refusals > QUICK_REFUSALS) {
-        await pause(REFUSED_PAUSE_MS * 2 ** (refusals - QUICK_REFUSALS - 1));
-        if (res.destroyed) return {kind: 'caller_left', sends};
-      }
+      if (outcome.kind !== 'refused') continue;
+      await pause(pauseAfterRefusals(attempts.refusals));
+      if (res.destroyed) return callerLeft();
     }
   } finally {
     load.release();
@@ -130,17 +127,21 @@
   ): Ending | undefined {
     if (outcome.kind === 'complete') {
       res.end();
+      const {sends} = attempts;
       return {kind: 'served', status: 200, sends, stream: progress};
     }
-    if (outcome.kind === 'caller_left') return {kind: 'caller_left', sends};
+    if (outcome.kind === 'caller_left') return callerLeft();
     if (outcome.kind === 'answered') {
       startAnswer(res, outcome.status, outcome.headers);
       res.setHeader('content-length', outcome.body.length);
       res.end(outcome.body);
+      const {sends} = attempts;
       return {kind: 'served', status: outcome.status, sends};
     }
     if (outcome.kind === 'deadline') {
-      return ended(failure('deadline_exceeded', 'the time of the route is up'));
+      return failed(
+        failure('deadline_exceeded', 'the time of the route is up'),
+      );
     }
     const blamed = outcome.blamed ?? parts.table.get(stages[0].endpoint);
     parts.log.event('requestResent', {
@@ -157,17 +158,29 @@
         blamed.fullUntilMs = performance.now() + FULL_MS;
         exclude.delete(blamed.record.id);
       }
-      if (runs === 0) {
-        lastFailure = failure('overloaded', outcome.reason, {
-          retryAfterMs: RETRY_AFTER_MS,
-        });
-      }
-      return sends - runs >= MOST_REFUSALS ? ended(lastFailure!) : undefined;
+      attempts.refused(outcome.reason);
+      const isLast = !mustContinue() && attempts.refusals >= MOST_REFUSALS;
+      return isLast ? ended(timedOut()) : undefined;
     }
-    runs += 1;
-    lastFailure = failure('outcome_unknown', outcome.reason);
-    const mayContinue = rule.resumable && runs < rule.maxEndpoints;
-    return mayContinue ? undefined : ended(lastFailure);
+    attempts.mayHaveRun(outcome.reason);
+    const mayContinue = rule.resumable && attempts.runs < rule.maxEndpoints;
+    return mayContinue ? undefined : ended(timedOut());
+  }
+
+  /**
+   * Whether the caller has part of an answer that may go on elsewhere. It leaves
+   * by itself when the silence is too long for it, so that trying again for as
+   * long as it waits costs it nothing, and ending the stream costs it all.
+   */
+  function mustContinue(): boolean {
+    return progress.events > 0 && rule.resumable;
+  }
+
+  /** Whether room on a path may come in time. */
+  function mayWait(usable: readonly EndpointState[]): boolean {
+    if (mustContinue()) return true;
+    const waitedMs = performance.now() - exchange.arrivedMs;
+    return waitedMs < MOST_WAIT_MS && isOnlyFull(usable);
   }
 
   /** Whether there is a path apart from endpoints that were full just now. */
@@ -176,13 +189,23 @@
     return choosePath(usable, profile, request) !== undefined;
   }
 
+  /** Ends with what is known of the sends, or else with `err`. */
   function ended(err: Failure): Ending {
+    return failed(attempts.failureOr(err));
+  }
+
+  function failed(err: Failure): Ending {
+    const {sends} = attempts;
     if (!res.headersSent) return {kind: 'failed', err, sends};
     // Without its last chunk the answer cannot be taken for a whole one.
     res.destroy();
     return {kind: 'broken_off', err, sends};
   }
 
+  function callerLeft(): Ending {
+    return {kind: 'caller_left', sends: attempts.sends};
+  }
+
   function timedOut(): Failure {
     return failure('overloaded', 'no time left to run the request');
   }
@@ -196,6 +219,13 @@
   }
 }
 
+/** Pause before a refused stream is sent again, by the refusals so far. */
+function pauseAfterRefusals(refusals: number): number {
+  if (refusals <= QUICK_REFUSALS) return 0;
+  const pauseMs = REFUSED_PAUSE_MS * 2 ** (refusals - QUICK_REFUSALS - 1);
+  return Math.min(MOST_REFUSED_PAUSE_MS, pauseMs);
+}
+
 /** Stages as one short text for the log. */
 export function describe(stages: readonly Stage[]): string {
   return stages
--- /dev/null
+++ b/packages/gateway/test/callers.test.ts
@@ -0,0 +1,144 @@
+// Guards against callers whose input is too long, too slow or no HTTP: it must
+// be answered, must not reach an endpoint, and must not harm other requests.
+import {id, type WorkspaceId} from '@chivewick/common';
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import {after, test} from 'node:test';
+import {
+  answer,
+  ask,
+  closeWorlds,
+  config,
+  record,
+  route,
+  startEndpoint,
+  startWorld,
+  until,
+} from './world.js';
+
+after(closeWorlds);
+
+const LIMITS = {
+  maxHeaderBytes: 2_000,
+  maxBodyBytes: 1_000,
+  headerTimeoutMs: 300,
+  idleTimeoutMs: 300,
+};
+const HEAD =
+  'POST /x HTTP/1.1\r\nhost: h\r\nrequest-id: q1\r\ncontent-length: 10\r\n';
+
+async function startLimited(act = answer('whole'), limits = {}) {
+  const endpoint = await startEndpoint(act);
+  const world = await startWorld({
+    config: config({limits: {...LIMITS, ...limits}}),
+    records: [record('e', endpoint.address)],
+  });
+  return {...world, endpoint};
+}
+
+/** Sends bytes on a connection and collects what comes back until its end. */
+function send(
+  port: number,
+  bytes: string,
+): {socket: Socket; reply: Promise<string>} {
+  const socket = connect(port, '127.0.0.1');
+  let text = '';
+  socket.on('error', () => {});
+  socket.on('data', chunk => (text += chunk.toString()));
+  socket.write(bytes);
+  const reply = once(socket, 'close').then(() => text);
+  return {socket, reply};
+}
+
+const INPUTS: readonly {name: string; bytes: string; status: number}[] = [
+  {
+    name: 'headers over the limit of the configuration',
+    bytes: `${HEAD}a: ${'a'.repeat(2_000)}\r\n\r\n0123456789`,
+    status: 431,
+  },
+  {
+    name: 'headers over any limit',
+    bytes: `${HEAD}a: ${'a'.repeat(80_000)}\r\n\r\n`,
+    status: 431,
+  },
+  {name: 'headers that do not end', bytes: `${HEAD}a: `, status: 408},
+  {name: 'a body that does not end', bytes: `${HEAD}\r\n0123`, status: 408},
+  {
+    name: 'a body over the limit',
+    bytes: `${HEAD.replace('10', '2000')}\r\n`,
+    status: 413,
+  },
+  {
+    name: 'bytes that are no HTTP',
+    bytes: '\u0016\u0003\u0001 hello\r\n\r\n',
+    status: 400,
+  },
+  {
+    name: 'two lengths of the body',
+    bytes: `${HEAD}content-length: 20\r\n\r\n0123456789`,
+    status: 400,
+  },
+  {
+    name: 'a length beside chunks',
+    bytes: `${HEAD}transfer-encoding: chunked\r\n\r\n0\r\n\r\n`,
+    status: 400,
+  },
+];
+for (const {name, bytes, status} of INPUTS)
+  test(`callers: ${name} get ${status} and a closed connection`, async () => {
+    const {port, endpoint} = await startLimited();
+    const {reply} = send(port, bytes);
+    assert.equal((await ask(port)).body, 'whole');
+    assert.match(await reply, new RegExp(`^HTTP/1.1 ${status} `));
+    assert.equal(endpoint.heads.length, 1);
+  });
+
+test('callers: a second request behind a refused body is not run', async () => {
+  const {port, endpoint} = await startLimited();
+  const hidden = HEAD.replace('q1', 'q2').replace('10', '0');
+  const {reply} = send(port, `${HEAD.replace('10', '2000')}\r\n${hidden}\r\n`);
+  assert.match(await reply, /^HTTP\/1.1 413 /);
+  assert.equal(endpoint.heads.length, 0);
+});
+
+test('callers: a key that is removed while the body arrives is refused', async () => {
+  const {port, endpoint, store, gateway} = await startLimited(undefined, {
+    idleTimeoutMs: 5_000,
+  });
+  const closed = config({
+    routes: [route({open: false})],
+    limits: {...LIMITS, idleTimeoutMs: 5_000},
+  });
+  const adopt = async (
+    version: number,
+    keys: [string, {id: WorkspaceId}][],
+  ) => {
+    store.put('config/main', {
+      ...closed,
+      version,
+      workspaceOfKey: new Map(keys),
+    });
+    await until(() => gateway.config()?.version === version);
+  };
+  await adopt(2, [['key-1', {id: id<WorkspaceId>('w1')}]]);
+  const {socket, reply} = send(
+    port,
+    `${HEAD}key: key-1\r\nconnection: close\r\n\r\n0123`,
+  );
+  await new Promise(done => setTimeout(done, 300));
+  await adopt(3, []);
+  socket.write('456789');
+  assert.match(await reply, /^HTTP\/1.1 401 /);
+  assert.equal(endpoint.heads.length, 0);
+});
+
+test('callers: one that leaves ends the work at the endpoint', async () => {
+  let work: Socket | undefined;
+  const {port} = await startLimited(socket => (work = socket));
+  const {socket} = send(port, `${HEAD}\r\n0123456789`);
+  await until(() => work !== undefined);
+  const ended = once(work!, 'close');
+  socket.destroy();
+  await ended;
+});
--- a/packages/gateway/test/configuration.test.ts
+++ b/packages/gateway/test/configuration.test.ts
@@ -11,6 +11,7 @@
   header,
   record,
   route,
+  sendPart,
   startEndpoint,
   startWorld,
   until,
@@ -144,11 +145,14 @@
     config: config({routes: [route({kind: 'stream'})]}),
     bounds: {graceMs: 3_200},
   });
+  // A request that is still being read keeps the host from closing early.
+  const unfinished = await sendPart(port);
   const stopped = gateway.stop();
   assert.equal((await ask(readinessPort)).status, 503);
   let reply = await ask(port);
   while (!reply.body.includes('shutting_down')) reply = await ask(port);
   assert.equal(reply.status, 503);
   assert.equal(reply.headers['connection'], 'close');
+  unfinished.destroy();
   await stopped;
 });
--- a/packages/gateway/test/plain-requests.test.ts
+++ b/packages/gateway/test/plain-requests.test.ts
@@ -143,6 +143,23 @@
   assert.ok(Number(reply.headers['retry-after']) > 0);
 });
 
+test('plain: a failed answer is passed on where the next run gives none', async () => {
+  let requests = 0;
+  const act: Act = (socket, head) =>
+    requests++ === 0
+      ? answer('sorry', '500 Internal Server Error')(socket, head)
+      : socket.resetAndDestroy();
+  const first = await startEndpoint(act);
+  const second = await startEndpoint(act);
+  const {port} = await startWorld({
+    records: [record('first', first.address), record('second', second.address)],
+  });
+  const reply = await ask(port);
+  assert.equal(requests, 2);
+  assert.equal(reply.status, 500);
+  assert.equal(reply.body, 'sorry');
+});
+
 test('plain: a refused connection is no run, so the request goes elsewhere', async () => {
   const good = await startEndpoint(answer('whole'));
   const {port, gateway} = await startWorld({
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -61,6 +61,7 @@
         kind: 'stream',
         resumable: true,
         targets: [{service: MODEL, weight: 1}],
+        timeoutMs: 30_000,
         ...changes,
       }),
     ],
@@ -155,6 +156,20 @@
   assert.equal((await ask(port)).body, events(1, 5));
 });
 
+test('streams: a begun one is sent again until an endpoint has room', async () => {
+  const refuses = answer('', '503 Service Unavailable', 'not-run: 1\r\n');
+  let refusalsLeft = 8;
+  const {port, second} = await twoFirstHalves(
+    breaksOff(events(1, 2), reset),
+    (socket, head) =>
+      refusalsLeft-- > 0 ? refuses(socket, head) : whole(socket, head),
+  );
+  const reply = await ask(port, {headers: {'deadline-ms': '30000'}});
+  assert.equal(reply.body, events(1, 5));
+  assert.equal(reply.complete, true);
+  assert.equal(second.heads.length, 9);
+});
+
 test('streams: with a layer uncovered the caller is refused at once', async () => {
   const first = await startEndpoint(whole);
   const {port} = await startWorld({
--- a/packages/gateway/test/world.ts
+++ b/packages/gateway/test/world.ts
@@ -19,6 +19,7 @@
 import {createSocket} from 'node:dgram';
 import {request, type IncomingHttpHeaders} from 'node:http';
 import {
+  connect,
   createServer,
   type AddressInfo,
   type Server,
@@ -362,6 +363,16 @@
   readonly complete: boolean;
 }
 
+/** Sends the head of a request and part of its body. */
+export async function sendPart(port: number): Promise<Socket> {
+  const socket = connect(port, '127.0.0.1');
+  socket.on('error', () => {});
+  const head =
+    'POST /x HTTP/1.1\r\nhost: h\r\nrequest-id: part\r\ncontent-length: 10\r\n\r\nhalf';
+  await new Promise<void>(done => socket.write(head, () => done()));
+  return socket;
+}
+
 /** Sends a request as a caller does. */
 export function ask(
   port: number,
