Let a lease holder that stood still renew before it orders

A suspended process keeps a steady clock that may not count the standstill, so its deadline says the lease still runs while another host holds it; only the fence kept such orders out.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 export * from './bounded-logger.js';
+export * from './clock-mark.js';
 export * from './errors/index.js';
 export * from './grants.js';
 export * from './hash.js';
--- a/packages/gateway/src/freshness.ts
+++ b/packages/gateway/src/freshness.ts
@@ -1,9 +1,4 @@
-/**
- * Difference between two readings of (time of day - steady clock) that shows
- * that the process stood still or the time of day was set; larger than the
- * rounding of both clocks and than a slewed correction within seconds.
- */
-const CLOCK_DRIFT_MS = 150;
+import {markClocks, type ClockMark, type Clocks} from '@chivewick/common';
 
 /** How old the confirmed knowledge of the configuration is. */
 export interface Freshness {
@@ -24,26 +19,21 @@
  * await changes(...);
  * heard(2_000); // nothing changed until 2 s after the poll was sent
  */
-export function createFreshness(
-  now: () => number = () => performance.now(),
-  timeOfDay: () => number = () => Date.now(),
-): Freshness {
-  let confirmed: {atMs: number; offsetMs: number} | undefined;
-  const offset = () => timeOfDay() - now();
-  const moved = (offsetMs: number) =>
-    Math.abs(offset() - offsetMs) > CLOCK_DRIFT_MS;
+export function createFreshness(clocks?: Clocks): Freshness {
+  let confirmed: {atMs: number; mark: ClockMark} | undefined;
+  const now = clocks?.steady ?? (() => performance.now());
   return {
     poll() {
-      const sentMs = now();
-      const offsetMs = offset();
+      const mark = markClocks(clocks);
       return waitedMs => {
-        if (moved(offsetMs)) return;
-        const atMs = Math.min(sentMs + waitedMs, now());
-        confirmed = {atMs, offsetMs};
+        if (mark.hasDrifted()) return;
+        confirmed = {atMs: Math.min(mark.atMs + waitedMs, now()), mark};
       };
     },
     ageMs() {
-      if (confirmed === undefined || moved(confirmed.offsetMs)) return Infinity;
+      if (confirmed === undefined || confirmed.mark.hasDrifted()) {
+        return Infinity;
+      }
       return now() - confirmed.atMs;
     },
   };
--- a/packages/gateway/test/freshness.test.ts
+++ b/packages/gateway/test/freshness.test.ts
@@ -9,10 +9,7 @@
   let steady = 1_000;
   let day = 1_800_000_000_000;
   return {
-    freshness: createFreshness(
-      () => steady,
-      () => day,
-    ),
+    freshness: createFreshness({steady: () => steady, timeOfDay: () => day}),
     pass(ms: number) {
       steady += ms;
       day += ms;
--- a/packages/orders/src/lease.ts
+++ b/packages/orders/src/lease.ts
@@ -1,5 +1,11 @@
 /** The lease `orders/lease`, whose holder alone sends orders. */
-import type {HostId, Logger} from '@chivewick/common';
+import {
+  markClocks,
+  type ClockMark,
+  type Clocks,
+  type HostId,
+  type Logger,
+} from '@chivewick/common';
 import type {ExpectedVersion, ObjectStore} from '@chivewick/platform';
 import {randomUUID} from 'node:crypto';
 import type {LeaseValue, OrdersTiming} from './orders-api.js';
@@ -39,7 +45,8 @@
  * Creates this host's side of the lease. No clock is compared with another: a
  * holder counts from before its write, and a taker counts a whole lease from
  * after it first read a version that has not changed since. The holder's
- * deadline therefore precedes the taker's write.
+ * deadline therefore precedes the taker's write. A holder that was suspended
+ * does not act before it has renewed the lease, whatever its deadline says.
  *
  * @example
  * const lease = createLease({self, platform, log, timing, lowestFence});
@@ -53,38 +60,45 @@
   timing: Timing;
   /** Highest fencing number in use elsewhere; asked when no lease exists. */
   highestFence: () => Promise<number | undefined>;
+  /** The runtime's clocks unless given. */
+  clocks?: Clocks;
 }): Lease {
   const {self, platform, log, timing, highestFence} = options;
   const session = randomUUID();
+  const now = options.clocks?.steady ?? (() => performance.now());
   const {leaseMs, leaseMarginMs} = timing;
-  /** Start times of the writes that may have taken effect, by their ids. */
-  const writes = new Map<string, number>();
+  /** Starts of the writes that may have taken effect, by their ids. */
+  const writes = new Map<string, ClockMark>();
   let held: {value: LeaseValue; version: number} | undefined;
-  let deadlineMs = 0;
+  /** Start of the write that the lease counts from. */
+  let since: ClockMark | undefined;
   let seen: Observation | undefined;
   /** Whether `held.version` may be out of date. */
   let stale = false;
   let raise = 0;
 
   const isHeld = (): boolean =>
-    held !== undefined && performance.now() < deadlineMs - leaseMarginMs;
+    held !== undefined &&
+    since !== undefined &&
+    now() < since.atMs + leaseMs - leaseMarginMs &&
+    !since.hasDrifted();
 
   function adopt(value: LeaseValue, version: number): void {
-    const startMs = writes.get(value.writeId);
-    if (startMs === undefined) return;
+    const start = writes.get(value.writeId);
+    if (start === undefined) return;
     if (held === undefined || held.value.fence !== value.fence) {
       log.event('orderLeaseTaken', {fence: value.fence});
     }
     held = {value, version};
-    deadlineMs = startMs + leaseMs;
+    since = start;
     seen = undefined;
     stale = false;
-    for (const [writeId, atMs] of writes)
-      if (atMs < startMs) writes.delete(writeId);
+    for (const [writeId, {atMs}] of writes)
+      if (atMs < start.atMs) writes.delete(writeId);
   }
 
   function stopActing(): void {
-    deadlineMs = 0;
+    since = undefined;
     stale = true;
   }
 
@@ -92,7 +106,7 @@
     if (held === undefined) return;
     log.event('orderLeaseLost', {fence: held.value.fence, holder});
     held = undefined;
-    deadlineMs = 0;
+    since = undefined;
     raise = 0;
   }
 
@@ -101,7 +115,7 @@
     expected: ExpectedVersion,
   ): Promise<void> {
     const value = {...next, holder: self, session, writeId: randomUUID()};
-    writes.set(value.writeId, performance.now());
+    writes.set(value.writeId, markClocks(options.clocks));
     const outcome = await platform.put(LEASE_KEY, value, expected);
     if (outcome.kind === 'written') adopt(value, outcome.version);
     // The version moved on; the next read shows whether to this host's own
@@ -127,7 +141,7 @@
     }
     lose(value?.holder);
     const version = read.value?.version ?? 'absent';
-    const nowMs = performance.now();
+    const nowMs = now();
     if (seen?.version !== version) seen = {version, sinceMs: nowMs};
     const lapsed =
       value === undefined ||
