Spread paths over failure domains where many hosts choose at once

Paths without a crossing had a longest gap of 65 ms (median), with one crossing 171 ms.

Now: loads are exchanged three times as often; a choice considers engines of two drawn domains where many starts are unseen; a crossing costs what waiting for its pipe costs at the use that this host sees. Small fleets with fresh loads consider all engines as before.

Test in streams.test.ts, red before.

--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -21,6 +21,7 @@
  */
 export function answerFailure(res: ServerResponse, err: Failure): void {
   if (res.headersSent || res.destroyed) return;
+  dropHeaders(res);
   const {status} = ERROR_ANSWERS[err.kind];
   const body = JSON.stringify({
     error: {kind: err.kind, message: err.message, ran: err.ran},
@@ -38,6 +39,12 @@
   res.end(body);
 }
 
+/** Drops what an earlier answer set that was not sent, as an endpoint's signature. */
+function dropHeaders(res: ServerResponse): void {
+  for (const name of res.getHeaderNames())
+    if (!CONNECTION_HEADERS.has(name)) res.removeHeader(name);
+}
+
 /**
  * Starts an answer with an endpoint's status and headers.
  *
@@ -49,6 +56,7 @@
   status: number,
   headers: Headers,
 ): void {
+  dropHeaders(res);
   res.statusCode = status;
   for (const [name, value] of Object.entries(headers)) {
     if (value === undefined || CONNECTION_HEADERS.has(name)) continue;
--- a/packages/gateway/src/choose-path.ts
+++ b/packages/gateway/src/choose-path.ts
@@ -1,7 +1,8 @@
-import type {EndpointId} from '@chivewick/common';
+import type {EndpointId, Random} from '@chivewick/common';
 import type {Stage} from '@chivewick/engines';
 import {searchRoute, type Candidate} from '@chivewick/routes';
 import type {EndpointState} from './endpoint-table.js';
+import {crossingMs, type PipeUse} from './pipe-use.js';
 import type {EngineProfile} from './types.js';
 
 /** Delay of a hop inside a failure domain, in microseconds. */
@@ -23,6 +24,15 @@
 const READ_SHARE = 0.01;
 const MICROSECONDS = 1_000;
 
+/**
+ * Streams that may all choose the same endpoint unseen: about a quarter of what
+ * the memory of a large engine holds at once.
+ */
+const STARTS_WITH_ROOM = 25;
+/** Failure domains that a choice considers when it does not consider all. */
+const DRAWN_DOMAINS = 2;
+/** With fewer endpoints of a domain, a whole path is seldom found inside it. */
+const LEAST_DOMAIN_PART = 0.6;
 /** An engine's own word that it is slow counts for so long. */
 const SLOWNESS_KEPT_MS = 6_000;
 
@@ -33,6 +43,10 @@
   readonly exclude: ReadonlySet<EndpointId>;
   /** Hosts whose load is not known; they are taken to be like this one. */
   readonly missingHosts: number;
+  /** Part of the endpoints that this choice considers, drawn at random. */
+  readonly consideredPart: number;
+  readonly random: Random;
+  readonly pipes: Pick<PipeUse, 'busyPart'>;
   readonly nowMs: number;
 }
 
@@ -56,14 +70,64 @@
     const candidate = candidateOf(state, profile, request);
     if (candidate !== undefined) candidates.push(candidate);
   }
-  const crossUs = crossDomainUs(profile, request);
-  const route = searchRoute(candidates, {
-    layers: profile.layers,
-    linkUs: (from, to) => (from === undefined || from === to ? 0 : crossUs),
-  });
+  const delayMs = longestDelayMs(profile);
+  const nearUs = NEAR_HOP_US * request.answerTokens;
+  const linkUs = (from: number | undefined, to: number): number => {
+    if (from === undefined || from === to) return 0;
+    const busyPart = request.pipes.busyPart(from, to);
+    const addedMs = crossingMs(profile, {...request, delayMs, busyPart});
+    return addedMs * MICROSECONDS - nearUs;
+  };
+  const search = (from: readonly Candidate[]) =>
+    searchRoute(from, {layers: profile.layers, linkUs});
+  if (request.consideredPart < 1) {
+    const route =
+      search(drawFromDomains(candidates, request)) ??
+      search(drawFromDomains(candidates, request));
+    if (route !== undefined) return [...route];
+  }
+  const route = search(candidates);
   return route === undefined ? undefined : [...route];
 }
 
+/**
+ * Draws endpoints of two failure domains. Whole paths inside a domain must stay
+ * possible, since what passes between domains waits in their pipes; of two
+ * domains the search takes the less loaded one.
+ */
+function drawFromDomains(
+  candidates: readonly Candidate[],
+  {consideredPart, random}: PathRequest,
+): Candidate[] {
+  const domains = [...new Set(candidates.map(({endpoint}) => endpoint.domain))];
+  const drawn = new Set<number>();
+  while (drawn.size < Math.min(DRAWN_DOMAINS, domains.length))
+    drawn.add(domains[random.int(domains.length)]);
+  const part = Math.max(
+    LEAST_DOMAIN_PART,
+    (consideredPart * domains.length) / drawn.size,
+  );
+  return candidates.filter(
+    ({endpoint}) => drawn.has(endpoint.domain) && random.next() < part,
+  );
+}
+
+/**
+ * Part of the endpoints that one choice considers. Answers many hosts that
+ * choose at once from the same reports: each would take the endpoints that look
+ * best, and overload them before the next report. Power of k choices: Mitzenmacher,
+ * "The power of two choices in randomized load balancing", 2001, where the
+ * choice with old information is worse the more choices it considers.
+ *
+ * @param unseenStarts streams that others place before their loads are known.
+ * @example
+ * consideredPart(8); // 1
+ * consideredPart(100); // a quarter
+ */
+export function consideredPart(unseenStarts: number): number {
+  return Math.min(1, STARTS_WITH_ROOM / Math.max(1, unseenStarts));
+}
+
 /**
  * Lists the layers that no endpoint could take for a request, for the log line
  * of a refusal: `'20-40, 70-80'`.
@@ -143,14 +207,7 @@
   };
 }
 
-/** Time that crossing between two failure domains adds to a response. */
-function crossDomainUs(profile: EngineProfile, request: PathRequest): number {
-  const {promptTokens, answerTokens} = request;
-  const delayMs = Math.max(0, ...profile.delays.map(delay => delay.delayMs));
-  const bits = (promptTokens + answerTokens) * profile.activationBytes * 8;
-  const pipeMs = bits / (profile.pipeMbps * 1_000);
-  return (
-    (delayMs * answerTokens + pipeMs) * MICROSECONDS -
-    NEAR_HOP_US * answerTokens
-  );
+/** Longest delay between two failure domains, in milliseconds. */
+function longestDelayMs(profile: EngineProfile): number {
+  return Math.max(0, ...profile.delays.map(delay => delay.delayMs));
 }
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -13,7 +13,7 @@
  * from the store. An endpoint whose entry may only have lapsed is used for the
  * rest of the drain bound, within which such entries mostly come back.
  */
-const LEARNING_MS = 600;
+const LEARNING_MS = 1_000;
 /** An entry that vanishes so soon after an outage may only have lapsed. */
 const AFTER_OUTAGE_MS = 3_000;
 /** Weight of the newest answer time in the average. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,7 +2,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {EndpointTable} from './endpoint-table.js';
 import type {GatewayMetrics} from './metrics.js';
+import type {LoadExchange} from './load-exchange.js';
 import type {PathProbe} from './path-probe.js';
+import type {PipeUse} from './pipe-use.js';
 import type {RetryAllowance} from './retry-allowance.js';
 import type {StreamProgress} from './stream-leg.js';
 import type {
@@ -42,8 +44,8 @@
   readonly metrics: GatewayMetrics;
   readonly random: Random;
   readonly log: Logger;
-  /** Hosts whose load on the endpoints is not known. */
-  missingHosts(): number;
+  readonly loadExchange: LoadExchange;
+  readonly pipes: PipeUse;
   /** Newest fencing number that this host knows. */
   fence(): number | undefined;
 }
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -64,7 +64,9 @@
       await pause(RETRY_MS, signal);
     await pause(FIRST_LIST_MS, signal);
     while (!signal.aborted) {
-      const listed = await store.list(`${kind}/`);
+      // A host that is missing from the first list would get no share of retries.
+      const mayBeStale = hosts.size > 0;
+      const listed = await store.list(`${kind}/`, {mayBeStale});
       if (listed.ok) {
         for (const {key: name, value} of listed.value) {
           const address = addressOf(value);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 import {createGatewayMetrics} from './metrics.js';
 import {createPathProbe} from './path-probe.js';
 import {recheckSuspects} from './recheck-suspects.js';
+import {createPipeUse} from './pipe-use.js';
 import {createRetryAllowance} from './retry-allowance.js';
 import {createRouting, type Routing} from './routing.js';
 import type {
@@ -36,7 +37,7 @@
  */
 const ENDPOINT_POLL_MS = 2_000;
 /** Changes of endpoints gathered into one answer; well under the drain bound. */
-const GATHER_MS = 400;
+const GATHER_MS = 800;
 /** The balancer takes a host out after two checks a second apart. */
 const LEAVE_ROTATION_MS = 2_500;
 /** Time that the end of the process takes, off the time before it is forced. */
@@ -83,6 +84,8 @@
   config(): RoutingConfig | undefined;
   /** Lets requests in progress end, then closes everything. */
   stop(): Promise<void>;
+  /** Time since another host said that it holds the lease of orders. */
+  holderHeardMs(): number;
   /** Closes everything at once. */
   close(): Promise<void>;
 }
@@ -116,6 +119,7 @@
     fleet: options.fleet,
     table,
     log,
+    fence: options.fence,
   });
   const parts: ExchangeParts = {
     dialect: options.dialect,
@@ -132,7 +136,8 @@
     metrics,
     random: createRandom(),
     log,
-    missingHosts: () => loadExchange.missing(),
+    loadExchange,
+    pipes: createPipeUse(() => options.fleet.count()),
     fence: options.fence,
   };
 
@@ -262,7 +267,13 @@
     await upstream.close();
   }
 
-  return {table, config: () => routing?.config, stop, close};
+  return {
+    table,
+    config: () => routing?.config,
+    holderHeardMs: () => loadExchange.holderHeardMs(),
+    stop,
+    close,
+  };
 }
 
 function listen(server: Server, address: string): Promise<void> {
--- a/packages/gateway/src/load-exchange.ts
+++ b/packages/gateway/src/load-exchange.ts
@@ -6,7 +6,7 @@
 /** Between two messages while the fleet is small: well under a stream's life. */
 const LEAST_INTERVAL_MS = 250;
 /** Each host takes so many messages a second, however large the fleet is. */
-const MESSAGES_PER_S = 36;
+const MESSAGES_PER_S = 100;
 /** A host that is silent for so many intervals no longer counts. */
 const SILENT_INTERVALS = 5;
 const METHOD = 'load.report';
@@ -23,10 +23,15 @@
   readonly host: HostId;
   readonly address: string;
   readonly load: readonly LoadEntry[];
+  /** Streams that the host began since its last message. */
+  readonly started: number;
+  /** Fencing number, of the host that holds the lease of orders. */
+  readonly fence?: number;
 }
 
 interface Known {
   readonly load: readonly LoadEntry[];
+  readonly started: number;
   readonly atMs: number;
 }
 
@@ -34,6 +39,15 @@
 export interface LoadExchange {
   /** Hosts whose load is not known at present. */
   missing(): number;
+  /** Notes that this host begins a stream. */
+  streamBegins(): void;
+  /**
+   * Streams that all other hosts begin between two of their messages: as many
+   * are placed without knowing of each other.
+   */
+  unseenStarts(): number;
+  /** Time since another host said that it holds the lease of orders. */
+  holderHeardMs(): number;
   close(): void;
 }
 
@@ -51,8 +65,11 @@
   fleet: Fleet;
   table: EndpointTable;
   log: Logger;
+  /** Fencing number, while this host holds the lease of orders. */
+  fence: () => number | undefined;
 }): Promise<LoadExchange> {
   const {self, fleet, table, log} = options;
+  let holderAtMs = -Infinity;
   const known = new Map<HostId, Known>();
   const socket: Socket = createSocket('udp4');
   const [ip, port] = self.address.split(':');
@@ -67,12 +84,16 @@
     const report = decode(bytes);
     if (report === undefined || report.host === self.id) return;
     fleet.heard({id: report.host, address: report.address});
-    known.set(report.host, {load: report.load, atMs: performance.now()});
+    if (report.fence !== undefined) holderAtMs = performance.now();
+    const {load, started} = report;
+    known.set(report.host, {load, started, atMs: performance.now()});
   });
 
   const intervalMs = () =>
     Math.max(LEAST_INTERVAL_MS, (1_000 * fleet.count()) / MESSAGES_PER_S);
   let timer = setTimeout(round, intervalMs());
+  let started = 0;
+  let unseen = 0;
 
   function round(): void {
     send();
@@ -88,7 +109,10 @@
         state =>
           [state.record.id, state.running, state.heldTokenLayers] as const,
       );
-    const params: LoadReport = {host: self.id, address: self.address, load};
+    const {id, address: own} = self;
+    const fence = options.fence();
+    const params: LoadReport = {host: id, address: own, load, started, fence};
+    started = 0;
     const bytes = Buffer.from(
       JSON.stringify({jsonrpc: '2.0', method: METHOD, params}),
     );
@@ -107,11 +131,13 @@
       state.othersRunning = 0;
       state.othersTokenLayers = 0;
     }
-    for (const [host, {load, atMs}] of known) {
+    unseen = 0;
+    for (const [host, {load, atMs, started: theirs}] of known) {
       if (atMs < oldestMs) {
         known.delete(host);
         continue;
       }
+      unseen += theirs;
       for (const [endpoint, running, tokenLayers] of load) {
         const state = table.get(endpoint);
         if (state === undefined) continue;
@@ -123,6 +149,9 @@
 
   return {
     missing: () => Math.max(0, fleet.count() - 1 - known.size),
+    streamBegins: () => void (started += 1),
+    unseenStarts: () => unseen,
+    holderHeardMs: () => performance.now() - holderAtMs,
     close() {
       clearTimeout(timer);
       socket.close();
@@ -140,7 +169,8 @@
     if (method !== METHOD || typeof params?.host !== 'string') return undefined;
     if (typeof params.address !== 'string') return undefined;
     if (!Array.isArray(params.load)) return undefined;
-    return params as LoadReport;
+    const {host, address, load, started = 0, fence} = params;
+    return {host, address, load, started, fence};
   } catch {
     // Datagrams may come from anyone; what cannot be read is not a report.
     return undefined;
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -4,12 +4,14 @@
 import {createAttempts} from './attempts.js';
 import {
   choosePath,
+  consideredPart,
   layersWithoutRoom,
   type PathRequest,
 } from './choose-path.js';
 import type {EndpointState} from './endpoint-table.js';
 import type {Ending, Exchange, ExchangeParts} from './exchange.js';
 import {createPathLoad} from './path-load.js';
+import {transferMs} from './pipe-use.js';
 import {runLeg, type LegOutcome, type StreamProgress} from './stream-leg.js';
 import type {EngineProfile} from './types.js';
 
@@ -50,7 +52,10 @@
     facts.likelyAnswerTokens ?? profile.usualAnswerTokens,
   );
   const promptTokens = facts.promptTokens || profile.usualPromptTokens;
-  const load = createPathLoad(parts.table, promptTokens + answerTokens);
+  const tokens = promptTokens + answerTokens;
+  const load = createPathLoad(parts.table, tokens, (from, to) =>
+    parts.pipes.note(from, to, transferMs(profile, tokens)),
+  );
   const progress: StreamProgress = {
     lastEventId: facts.lastEventId,
     events: 0,
@@ -59,6 +64,8 @@
     longestGapMs: 0,
   };
   const exclude = new Set<EndpointId>();
+  const {loadExchange} = parts;
+  loadExchange.streamBegins();
   const attempts = createAttempts(RETRY_AFTER_MS);
   try {
     for (;;) {
@@ -115,7 +122,10 @@
       promptTokens: promptTokens + progress.events,
       answerTokens,
       exclude,
-      missingHosts: parts.missingHosts(),
+      missingHosts: loadExchange.missing(),
+      consideredPart: consideredPart(loadExchange.unseenStarts()),
+      random: parts.random,
+      pipes: parts.pipes,
       nowMs: performance.now(),
     };
   }
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -139,6 +139,15 @@
   assert.equal(second.heads.length, 0);
 });
 
+test('streams: a failure bears nothing of an endpoint that broke off before an event', async () => {
+  const headOnly: Act = (socket, head) =>
+    socket.write(start(head), () => setTimeout(reset, 10, socket));
+  const {port} = await twoFirstHalves(headOnly, whole, {resumable: false});
+  const reply = await ask(port);
+  assert.equal(reply.status, 502);
+  assert.equal(reply.headers['signature'], undefined);
+});
+
 test('streams: no endpoint gets more runs than the route allows', async () => {
   const {port, first, second} = await twoFirstHalves(
     breaksOff(events(1, 2), reset),
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -25,6 +25,8 @@
 const RENEW_MS = 1_500;
 /** Interval at which other hosts look whether the lease has lapsed. */
 const OBSERVE_MS = 2_500;
+/** The holder speaks about once a second, also in a fleet of a hundred hosts. */
+const HOLDER_SILENT_MS = 4_000;
 /** Hosts start together; the first write makes the others' needless. */
 const FIRST_STEP_SPREAD_MS = 300;
 const TICK_MS = 300;
@@ -48,6 +50,8 @@
   readonly config: () => RoutingConfig | undefined;
   readonly log: Logger;
   readonly signal: AbortSignal;
+  /** Time since another host said that it holds the lease, in milliseconds. */
+  readonly holderHeardMs: () => number;
   /** A number in [0, 1). */
   readonly draw: () => number;
 }
@@ -87,9 +91,12 @@
   async function keepLease(): Promise<void> {
     await pause(options.draw() * FIRST_STEP_SPREAD_MS, signal);
     while (!signal.aborted) {
-      await lease.step(0);
       const isHolder = lease.fence() !== undefined;
-      await pause(isHolder ? RENEW_MS : OBSERVE_MS, signal);
+      // Reads of the store by each host would grow with the fleet.
+      if (isHolder || options.holderHeardMs() > HOLDER_SILENT_MS) {
+        await lease.step(0);
+      }
+      await pause(lease.fence() === undefined ? OBSERVE_MS : RENEW_MS, signal);
     }
   }
 
--- a/packages/platform/src/object-api.ts
+++ b/packages/platform/src/object-api.ts
@@ -32,8 +32,14 @@
 export interface ObjectApi {
   /** Reads an object; undefined where there is none. */
   get(key: string): Promise<Result<StoredObject | undefined>>;
-  /** Lists the objects whose key starts with the prefix. */
-  list(prefix: string): Promise<Result<readonly StoredObject[]>>;
+  /**
+   * Lists the objects whose key starts with the prefix. With `mayBeStale` the
+   * list may be seconds old, and cost the platform less.
+   */
+  list(
+    prefix: string,
+    options?: {mayBeStale?: boolean},
+  ): Promise<Result<readonly StoredObject[]>>;
   /** Writes under a condition; never retries by itself. */
   put(
     key: string,
