--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -132,7 +132,7 @@
       hosts: () => options.fleet.count(),
     }),
     control: options.control,
-    probe: createPathProbe(options.control, table),
+    probe: createPathProbe(options.control, table, () => options.fleet.count()),
     metrics,
     random: createRandom(),
     log,
--- a/packages/gateway/src/path-probe.ts
+++ b/packages/gateway/src/path-probe.ts
@@ -7,10 +7,12 @@
 /** An answer tells about other streams of this host for so long. */
 const ANSWER_SHARED_MS = 400;
 /**
- * Probes of one host a second, and at once: enough for the stages of a few dozen
- * streams that fall silent together; probes are priced.
+ * Probes of all hosts a second: enough for the stages of some hundred streams that
+ * fall silent together. Probes are priced, and a fleet that is slow as a whole must
+ * not be asked more often for having more hosts.
  */
-const PROBES_PER_S = 30;
+const FLEET_PROBES_PER_S = 270;
+/** Probes that one host may send at once. */
 const MOST_PROBES_AT_ONCE = 40;
 
 /** What a look at the stages of a path found. */
@@ -44,6 +46,7 @@
 export function createPathProbe(
   control: EngineControl,
   table: EndpointTable,
+  hosts: () => number,
 ): PathProbe {
   const answers = new Map<string, Shared>();
   let tokens = MOST_PROBES_AT_ONCE;
@@ -51,7 +54,8 @@
 
   function mayProbe(): boolean {
     const nowMs = performance.now();
-    const filled = ((nowMs - filledAtMs) / 1_000) * PROBES_PER_S;
+    const filled =
+      ((nowMs - filledAtMs) / 1_000) * (FLEET_PROBES_PER_S / hosts());
     tokens = Math.min(MOST_PROBES_AT_ONCE, tokens + filled);
     filledAtMs = nowMs;
     if (tokens < 1) return false;
