--- a/packages/gateway/test/world.ts
+++ b/packages/gateway/test/world.ts
@@ -150,7 +150,8 @@
   let changes: ObjectChange[] = [];
   let version = 1;
   let isDown = false;
-  let isHistoryLost = false;
+  /** Changes before this version are forgotten. */
+  let historyFrom = 0;
 
   function put(key: string, value: unknown): void {
     version += 1;
@@ -191,10 +192,7 @@
       if (isDown || signal.aborted) {
         return {kind: 'unavailable', message: 'down or cut short'};
       }
-      if (isHistoryLost) {
-        isHistoryLost = false;
-        return {kind: 'history_lost'};
-      }
+      if (since < historyFrom) return {kind: 'history_lost'};
       return {kind: 'changes', changes: found(), version};
     },
   };
@@ -216,7 +214,7 @@
       version += 1;
       objects.set(key, {key, version, value});
       changes = [];
-      isHistoryLost = true;
+      historyFrom = version;
       for (const wake of waiting) wake();
     },
   };
