Compute the cost of each link once a choice of a path

The search asks for it at every pair of candidates, and each time the use of the pipe was computed anew.

--- a/packages/gateway/src/choose-path.ts
+++ b/packages/gateway/src/choose-path.ts
@@ -70,14 +70,7 @@
     const candidate = candidateOf(state, profile, request);
     if (candidate !== undefined) candidates.push(candidate);
   }
-  const delayMs = longestDelayMs(profile);
-  const nearUs = NEAR_HOP_US * request.answerTokens;
-  const linkUs = (from: number | undefined, to: number): number => {
-    if (from === undefined || from === to) return 0;
-    const busyPart = request.pipes.busyPart(from, to);
-    const addedMs = crossingMs(profile, {...request, delayMs, busyPart});
-    return addedMs * MICROSECONDS - nearUs;
-  };
+  const linkUs = createLinkCosts(profile, request);
   const search = (from: readonly Candidate[]) =>
     searchRoute(from, {layers: profile.layers, linkUs});
   if (request.consideredPart < 1) {
@@ -90,6 +83,28 @@
   return route === undefined ? undefined : [...route];
 }
 
+/**
+ * Time that each link between two failure domains adds to a response, computed
+ * once a choice: the search asks for it at every pair of candidates.
+ */
+function createLinkCosts(
+  profile: EngineProfile,
+  request: PathRequest,
+): (from: number | undefined, to: number) => number {
+  const delayMs = longestDelayMs(profile);
+  const nearUs = NEAR_HOP_US * request.answerTokens;
+  const known: (number | undefined)[][] = [];
+  return (from, to) => {
+    if (from === undefined || from === to) return 0;
+    const costs = (known[from] ??= []);
+    const cost = costs[to];
+    if (cost !== undefined) return cost;
+    const busyPart = request.pipes.busyPart(from, to);
+    const addedMs = crossingMs(profile, {...request, delayMs, busyPart});
+    return (costs[to] = addedMs * MICROSECONDS - nearUs);
+  };
+}
+
 /**
  * Draws endpoints of two failure domains. Whole paths inside a domain must stay
  * possible, since what passes between domains waits in their pipes; of two
