--- a/packages/common/src/bounded-logger.ts
+++ b/packages/common/src/bounded-logger.ts
@@ -1,6 +1,7 @@
 import {LOG_EVENTS, type LogEventName} from './log-events/index.js';
 import type {Logger} from './logger.js';
 
+/** Between two lines that say how many were dropped: rare beside the volume. */
 const REPORT_MS = 1_000;
 /** Levels whose lines are written whatever the volume: they are rare. */
 const ALWAYS_WRITTEN: ReadonlySet<string> = new Set(['warn', 'error']);
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -18,6 +18,7 @@
 const AFTER_OUTAGE_MS = 3_000;
 /** Weight of the newest answer time in the average. */
 const LATENCY_GAIN = 0.2;
+/** Expected answer time of an endpoint that has not answered yet. */
 const FIRST_LATENCY_MS = 40;
 
 /** What this host knows of an endpoint. */
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -8,6 +8,7 @@
  * is read again only for hosts that were lost.
  */
 const LIST_INTERVAL_MS = 20_000;
+/** Between attempts while the store does not answer. */
 const RETRY_MS = 1_000;
 
 /** A host of this system. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -52,6 +52,7 @@
 const LEAVE_ROTATION_MS = 2_500;
 /** Time that the end of the process takes, off the time before it is forced. */
 const END_MARGIN_MS = 500;
+/** How often a stopping host looks whether requests still run. */
 const STOP_STEP_MS = 50;
 /** Plain requests that come so long before the forced end can be served. */
 const LAST_PLAIN_MS = 2_500;
--- a/packages/gateway/src/handle-request.ts
+++ b/packages/gateway/src/handle-request.ts
@@ -29,6 +29,7 @@
 const AGE_MARGIN_MS = 200;
 /** A first confirmation after a standstill takes one call to the store. */
 const CONFIRM_WAIT_MS = 250;
+/** A tenth of the wait. */
 const CONFIRM_STEP_MS = 25;
 /**
  * Unknown routes and keys are refused for good only by hosts whose configuration
--- a/packages/gateway/src/recheck-suspects.ts
+++ b/packages/gateway/src/recheck-suspects.ts
@@ -4,6 +4,7 @@
 
 /** Between two probes of a suspected engine. */
 const RECHECK_MS = 900;
+/** No request waits for it, so it is longer than that of a silent stream. */
 const PROBE_TIMEOUT_MS = 200;
 
 /**
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -16,6 +16,7 @@
 const LONGEST_LATENCY_MS = 2_000;
 /** Failures in a row after which an endpoint is suspected. */
 const FAILURES_UNTIL_SUSPECTED = 3;
+/** Twice the time for which a full endpoint is passed over. */
 const RETRY_AFTER_MS = 300;
 
 interface Answer {
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -27,6 +27,7 @@
 const MOST_REFUSED_PAUSE_MS = 500;
 /** An endpoint that refused for want of room is passed over so long. */
 const FULL_MS = 250;
+/** As long as a stream that has just come waits for room itself. */
 const RETRY_AFTER_MS = 1_000;
 /**
  * Longest wait for room on a path: callers leave after two seconds without an
--- a/packages/gateway/src/stream-leg.ts
+++ b/packages/gateway/src/stream-leg.ts
@@ -21,6 +21,7 @@
 const MOST_REPAIRS = 4;
 /** An engine that refused a stream for want of room is passed over so long. */
 const FULL_MS = 250;
+/** Keeps a look that is due from running in every turn of the event loop. */
 const LEAST_TIMER_MS = 10;
 /** A failed answer of an engine is short. */
 const MOST_FAILURE_BYTES = 65_536;
--- a/packages/pipeline/src/recover.ts
+++ b/packages/pipeline/src/recover.ts
@@ -14,7 +14,9 @@
 import type {Context, Run, StageFault} from './run-state.js';
 import type {PipelineRequest} from './types.js';
 
+/** First delay before another choice, the shortest stall that is looked at; it doubles. */
 const NO_ROUTE_DELAY_MS = 20;
+/** Half the interval of status polls, which bring endpoints back. */
 const MAX_NO_ROUTE_DELAY_MS = 500;
 
 /**
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -21,7 +21,9 @@
  * only the time until empty engines are put to use.
  */
 const LEASE_MS = 5_000;
+/** Taken off the lease of its holder, for the way to an engine. */
 const LEASE_MARGIN_MS = 500;
+/** Two renewals may fail within a lease. */
 const RENEW_MS = 1_500;
 /** Interval at which other hosts look whether the lease has lapsed. */
 const OBSERVE_MS = 2_500;
@@ -29,6 +31,7 @@
 const HOLDER_SILENT_MS = 4_000;
 /** Hosts start together; the first write makes the others' needless. */
 const FIRST_STEP_SPREAD_MS = 300;
+/** Between two plans: short beside a load of layers, which takes seconds. */
 const TICK_MS = 300;
 /** At the start of a fleet, engines register within seconds of each other. */
 const SETTLE_MS = 700;
@@ -40,6 +43,7 @@
 const REPLACEMENT_MS = 2_000;
 /** An order is taken for lost when the engine does not show it for this long. */
 const ORDER_LOST_MS = 12_000;
+/** An engine that does not answer in this time gets no order in this round. */
 const REPORT_TIMEOUT_MS = 300;
 
 export interface PlacementOptions {
