Stop a repeated request that crashes endpoints in the middle of responses

Callers saw nothing; engines ended one after the other. A request that crashes each engine after its first event was sent to 14 engines (of 14) where its caller resumed it: a crash was recorded only for a caller's first request, and only while all attempts together had forwarded fewer than three events, which attempts that each write one event soon exceed.

Crashes are now judged by the events of one attempt. Failed before: quarantine-repeats.test.ts, 'sent 14 times'; now at most 4 sends.

--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -82,6 +82,7 @@
   const progress: StreamProgress = {
     lastEventId: facts.lastEventId,
     events: 0,
+    attemptEvents: 0,
     firstEventMs: 0,
     lastEventMs: 0,
     longestGapMs: 0,
@@ -167,8 +168,9 @@
   /** Records what may have crashed an endpoint, before the request is sent again. */
   async function recordCrash(outcome: StreamAttemptOutcome): Promise<void> {
     if (outcome.kind !== 'broken' || outcome.disconnected === undefined) return;
-    const hasBegun =
-      progress.events >= BEGUN_EVENTS || facts.lastEventId !== undefined;
+    // Events of several attempts prove nothing: each endpoint may have sent one before
+    // it crashed.
+    const hasBegun = progress.attemptEvents >= BEGUN_EVENTS;
     if (hasBegun || outcome.suspect === undefined) return;
     await ctx.quarantine.disconnected(
       exchange,
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -25,8 +25,9 @@
 /** Time for which an engine that refused a stream as full is avoided. */
 const FULL_BACKOFF_MS = 250;
 /**
- * Events after which a response has really begun: a request that crashes endpoints does
- * so when they begin to write, and an event may still arrive before that is seen.
+ * Events of one attempt after which a response has really begun: a request that crashes
+ * endpoints does so when they begin to write, and an event may still arrive before that
+ * is seen.
  */
 export const BEGUN_EVENTS = 3;
 /** Prevents a check that is due from running in every turn of the event loop. */
@@ -41,6 +42,8 @@
 export interface StreamProgress {
   lastEventId?: number;
   events: number;
+  /** Most events that one attempt has forwarded. */
+  attemptEvents: number;
   firstEventMs: number;
   lastEventMs: number;
   longestGapMs: number;
@@ -259,9 +262,10 @@
         progress.longestGapMs = Math.max(progress.longestGapMs, gapMs);
       }
       progress.events += 1;
-      if (progress.events === BEGUN_EVENTS) ctx.quarantine.succeeded(exchange);
-      progress.lastEventMs = nowMs;
       attemptEvents += 1;
+      progress.attemptEvents = Math.max(progress.attemptEvents, attemptEvents);
+      if (attemptEvents === BEGUN_EVENTS) ctx.quarantine.succeeded(exchange);
+      progress.lastEventMs = nowMs;
       lastActivityMs = nowMs;
       if (!res.write(bytes)) {
         paused = true;
