Find a repeated request that crashes engines beside begun responses

A request that had not begun beside others that had now counts a fifth per crash: it is banned at its fifth, within the three retries that are allowed after the third crash and the time to notice it. Sound requests that meet five crashes in turn without any event are not expected, as a request has at most a few sends. Parts are judged as before. Test failed before (not banned).

--- a/packages/crash-evidence/src/find-cause.ts
+++ b/packages/crash-evidence/src/find-cause.ts
@@ -17,6 +17,11 @@
  * are left, all requests that waited for one wait for the next and see it crash too.
  */
 const MIN_CRASHES_UNBEGUN = 3;
+/**
+ * The same if other requests on the endpoint had just begun: they are likelier causes,
+ * but they are others at each crash, while a request that is repeated is there each time.
+ */
+const MIN_CRASHES_BESIDE_BEGUN = 5;
 /**
  * Time in which all hosts report the requests that a crash interrupted. Until then it
  * is not known whether one of them had begun.
@@ -53,8 +58,8 @@
 /**
  * Finds the next fingerprint to ban. A part of a prompt is the cause if it was near
  * two crashes at different moments, with different requests and without any success; a
- * request, if it was near two crashes itself. A request to which an endpoint had not
- * begun to respond is no suspect if there are others. A crash that a banned part explains
+ * request, if it was near two crashes itself. Where others had begun, the parts of a
+ * request that had not are no suspects, and the request needs more crashes. A crash that a banned part explains
  * incriminates no other part. Of several parts with the same evidence the most
  * specific one is taken, which rejects the fewest requests; if it is the wrong one,
  * the next crashes tell.
@@ -155,12 +160,26 @@
   const counts = new Map<Fingerprint, number>();
   for (const crash of facts.crashes) {
     if (isExplained(crash, facts.isBanned)) continue;
-    for (const {request, hasBegun} of suspects(crash, facts.nowMs)) {
-      const weight = hasBegun ? 1 / MIN_CRASHES : 1 / MIN_CRASHES_UNBEGUN;
-      const count = (counts.get(request) ?? 0) + weight;
-      if (count >= 1 && !facts.isBanned(request)) return request;
+    const likely = new Set(suspects(crash, facts.nowMs));
+    const isSettled = facts.nowMs - crash.atMs >= SETTLE_MS;
+    for (const suspect of crash.requests.values()) {
+      if (!likely.has(suspect) && !isSettled) continue;
+      const {request} = suspect;
+      const count =
+        (counts.get(request) ?? 0) + 1 / minCrashes(suspect, likely);
+      // The sum of five fifths may be just below 1.
+      if (count > 0.99 && !facts.isBanned(request)) return request;
       counts.set(request, count);
     }
   }
   return undefined;
 }
+
+/** Crashes such as this one after which a request is banned. */
+function minCrashes(
+  suspect: SuspectRequest,
+  likely: ReadonlySet<SuspectRequest>,
+): number {
+  if (!likely.has(suspect)) return MIN_CRASHES_BESIDE_BEGUN;
+  return suspect.hasBegun ? MIN_CRASHES : MIN_CRASHES_UNBEGUN;
+}
--- a/packages/crash-evidence/test/crash-evidence.test.ts
+++ b/packages/crash-evidence/test/crash-evidence.test.ts
@@ -140,6 +140,29 @@
   assert.equal(isRejected(evidence, 's'), false);
 });
 
+// Sound requests of others have just begun at each crash, those of one crash only once.
+test('crashes: a repeated request is found beside requests that had begun', () => {
+  const {evidence, clock} = start();
+  evidence.recordSuccess([COMMON]);
+  for (let n = 0; n < 5; n++) {
+    clock.nowMs += 3_000;
+    for (const [name, hasBegun] of [
+      ['repeated', false],
+      [`sound${n}`, true],
+    ] as const)
+      evidence.recordCrash(run(`e${n}`), {
+        request: request(name),
+        hasBegun,
+        parts: [COMMON],
+      });
+    clock.nowMs += 300;
+    evidence.recordSuccess([COMMON]);
+  }
+  assert.equal(isRejected(evidence, 'repeated', COMMON), true);
+  assert.equal(isRejected(evidence, 'sound4', COMMON), false);
+  assert.equal(isRejected(evidence, 'other', COMMON), false);
+});
+
 test('crashes: a part that has succeeded needs more evidence, and a success clears it', () => {
   const {evidence, crash, clock} = start();
   evidence.recordSuccess([SOUND]);
