Keep the report on crashes small enough for a datagram

A report held up to 16 crashes with 16 requests of 16 parts each, whose names callers choose: 237 KB in the new test, where a datagram carries 64 KB. It was then not sent at all, so that no other host knew what crashes endpoints while most of them crashed. Only the newest crashes that fit are reported, the requests that had begun first, and long names of parts are replaced by a digest. Test failed before (237,478 bytes), now below 60,000.

--- a/packages/crash-evidence/src/crash-evidence.ts
+++ b/packages/crash-evidence/src/crash-evidence.ts
@@ -28,6 +28,8 @@
 // Bounds on the memory and on the size of a report, which has to fit a datagram.
 const MAX_CRASHES = 128;
 const MAX_REPORTED_CRASHES = 16;
+/** Bytes of the crashes in a report; a datagram carries 64 KB and the rest of it. */
+const MAX_CRASH_BYTES = 36_000;
 const MAX_REQUESTS = 16;
 const MAX_SUCCESSES = 4_096;
 const MAX_BANS = 128;
@@ -272,9 +274,11 @@
     },
     report() {
       const atMs = now();
-      const recent = [...crashes.values()]
-        .filter(crash => atMs - crash.atMs < REPORTED_MS)
-        .slice(-MAX_REPORTED_CRASHES);
+      const recent = newestThatFit(
+        [...crashes.values()]
+          .filter(crash => atMs - crash.atMs < REPORTED_MS)
+          .slice(-MAX_REPORTED_CRASHES),
+      );
       if (recent.length === 0 && bans.size === 0) return undefined;
       const near = new Set(
         recent.flatMap(({requests}) =>
@@ -319,6 +323,34 @@
   };
 }
 
+/**
+ * The newest crashes that fit into a report. Of one that does not fit alone, the
+ * requests that had begun are kept first: they are the likeliest causes.
+ */
+function newestThatFit(recent: readonly MutableCrash[]): MutableCrash[] {
+  const fitting: MutableCrash[] = [];
+  let leftBytes = MAX_CRASH_BYTES;
+  for (const crash of [...recent].reverse()) {
+    const requests: typeof crash.requests = new Map();
+    const ordered = [...crash.requests].sort(
+      ([, a], [, b]) => Number(b.hasBegun) - Number(a.hasBegun),
+    );
+    for (const [fingerprint, suspect] of ordered) {
+      leftBytes -= reportedBytes(suspect);
+      if (leftBytes < 0) break;
+      requests.set(fingerprint, suspect);
+    }
+    if (requests.size > 0) fitting.unshift({...crash, requests});
+    if (leftBytes < 0) break;
+  }
+  return fitting;
+}
+
+/** Bytes of a request in a report, with its parts, and its parts as successes. */
+function reportedBytes(suspect: SuspectRequest): number {
+  return 2 * JSON.stringify(suspect).length;
+}
+
 /** Keeps the newest entries of a map. */
 function dropOldest<K>(map: Map<K, unknown>, maxSize: number): void {
   for (const key of map.keys()) {
--- a/packages/crash-evidence/src/fingerprints.ts
+++ b/packages/crash-evidence/src/fingerprints.ts
@@ -1,6 +1,9 @@
+import {createHash} from 'node:crypto';
 import type {Fingerprint} from './types.js';
 
 const REQUEST_PREFIX = 'request:';
+/** Callers choose the names of parts; a longer one is replaced by a digest. */
+const MAX_PART_CHARS = 32;
 
 /**
  * Fingerprint of a request by a digest of what its repetitions have in common.
@@ -19,7 +22,14 @@
  * partFingerprint('model', '48720f35'); // 'part:model:48720f35'
  */
 export function partFingerprint(service: string, part: string): Fingerprint {
-  return `part:${service}:${part}` as Fingerprint;
+  const name =
+    part.length <= MAX_PART_CHARS
+      ? part
+      : createHash('sha256')
+          .update(part)
+          .digest('hex')
+          .slice(0, MAX_PART_CHARS);
+  return `part:${service}:${name}` as Fingerprint;
 }
 
 /** Whether a fingerprint is that of one request and not of a part. */
--- a/packages/crash-evidence/test/crash-evidence.test.ts
+++ b/packages/crash-evidence/test/crash-evidence.test.ts
@@ -163,6 +163,22 @@
   assert.equal(isRejected(evidence, 'other', COMMON), false);
 });
 
+test('crashes: the largest report fits a datagram', () => {
+  const {evidence, clock} = start();
+  const digest = '0123456789abcdef0123';
+  const parts = Array.from({length: 16}, (_, n) => part(`${digest}-${n}`));
+  for (let crashed = 0; crashed < 40; crashed++)
+    for (let n = 0; n < 40; n++)
+      evidence.recordCrash(run(`endpoint-${crashed}@1796421234567`), {
+        request: request(`${digest}-${crashed}-${n}`),
+        hasBegun: n % 2 === 0,
+        parts: parts.map(name => part(`${name}-${crashed}-${n}`.repeat(20))),
+      });
+  clock.nowMs += 300;
+  const bytes = Buffer.byteLength(JSON.stringify(evidence.report()));
+  assert.ok(bytes < 60_000, `${bytes} bytes`);
+});
+
 test('crashes: a part that has succeeded needs more evidence, and a success clears it', () => {
   const {evidence, crash, clock} = start();
   evidence.recordSuccess([SOUND]);
