Send nothing to an endpoint that states in a response that it stops

The platform's endpoints now say so in all their responses, which may be known before the store lists them as draining, and where the store does not say it at all. The statement ends the use of that incarnation by this host, its last resort included. Tests failed before, for plain requests and streams.

--- a/packages/common/src/log-events/gateway.ts
+++ b/packages/common/src/log-events/gateway.ts
@@ -86,6 +86,11 @@
     level: 'info',
     message: 'requests are accepted again after a success',
   },
+  endpointLeaving: {
+    number: 1037,
+    level: 'info',
+    message: 'endpoint states that it is about to stop',
+  },
   linesDropped: {
     number: 1040,
     level: 'warn',
--- a/packages/gateway/src/coordination/coordination.ts
+++ b/packages/gateway/src/coordination/coordination.ts
@@ -6,7 +6,11 @@
   sampleFraction,
   type PathRequest,
 } from '../choose-path.js';
-import type {EndpointState, EndpointTable} from '../endpoint-table.js';
+import {
+  acceptsRequests,
+  type EndpointState,
+  type EndpointTable,
+} from '../endpoint-table.js';
 import type {Fleet, FleetHost} from '../fleet.js';
 import type {PipeUsage} from '../pipe-usage.js';
 import type {RetryAllowance} from '../retry-allowance.js';
@@ -351,8 +355,12 @@
   function isUsable(answer: PathAnswer): boolean {
     if (answer.kind !== 'path') return true;
     return answer.stages.every(({endpoint, address}) => {
-      const record = table.get(endpoint)?.record;
-      return record?.state === 'ready' && record.address === address;
+      const state = table.get(endpoint);
+      return (
+        state !== undefined &&
+        acceptsRequests(state) &&
+        state.record.address === address
+      );
     });
   }
 
--- a/packages/gateway/src/coordination/path-asker.ts
+++ b/packages/gateway/src/coordination/path-asker.ts
@@ -1,7 +1,7 @@
 import {markClocks, type HostId, type ServiceName} from '@chivewick/common';
 import type {Contacts} from '@chivewick/coordination';
 import type {PathRequest} from '../choose-path.js';
-import type {EndpointTable} from '../endpoint-table.js';
+import {acceptsRequests, type EndpointTable} from '../endpoint-table.js';
 import type {EngineProfile} from '../types.js';
 import type {Coordinator} from './coordinator.js';
 import type {Datagrams} from './datagrams.js';
@@ -64,7 +64,7 @@
     const nowMs = performance.now();
     const states = table.ofService(service);
     const unusable = states.filter(
-      state => state.suspectedUntilMs > nowMs || state.record.state !== 'ready',
+      state => state.suspectedUntilMs > nowMs || !acceptsRequests(state),
     );
     const full = states.filter(state => state.fullUntilMs > nowMs);
     return {
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -52,6 +52,8 @@
   retainedUntilMs?: number;
   /** Whether its entry was removed permanently. */
   removed: boolean;
+  /** Whether it has stated in a response that it is about to stop. */
+  leaving: boolean;
 }
 
 /** The registered endpoints with their load and health. */
@@ -71,6 +73,8 @@
   /** Endpoints of a service that may get a new request. */
   usable(service: ServiceName): EndpointState[];
   suspect(state: EndpointState, reason: string): void;
+  /** Ends the use of an endpoint for good; a restart is another endpoint. */
+  leave(state: EndpointState): void;
   observeSlowness(state: EndpointState, slowness: number): void;
   /** Forgets the load that other hosts put on the endpoints. */
   clearOthersLoad(): void;
@@ -155,6 +159,7 @@
       slowness: 1,
       slownessAtMs: 0,
       removed: false,
+      leaving: false,
     });
   }
 
@@ -215,8 +220,7 @@
     ofService,
     usable: service =>
       ofService(service).filter(
-        state =>
-          state.record.state === 'ready' && state.suspectedUntilMs <= now(),
+        state => acceptsRequests(state) && state.suspectedUntilMs <= now(),
       ),
     suspect(state, reason) {
       const isSuspected = state.suspectedUntilMs > now();
@@ -230,6 +234,12 @@
       });
       for (const listener of listeners) listener(state);
     },
+    leave(state) {
+      if (state.leaving) return;
+      state.leaving = true;
+      const {id: endpoint, address} = state.record;
+      log.event('endpointLeaving', {endpoint, address});
+    },
     observeSlowness(state, slowness) {
       state.slowness = slowness;
       state.slownessAtMs = now();
@@ -251,6 +261,17 @@
   };
 }
 
+/**
+ * Whether an endpoint may get a new request, apart from suspicions: there it is better
+ * than none.
+ *
+ * @example
+ * const endpoints = table.ofService(service).filter(acceptsRequests);
+ */
+export function acceptsRequests(state: EndpointState): boolean {
+  return state.record.state === 'ready' && !state.leaving;
+}
+
 /**
  * Adds the response time of a plain request to the moving average.
  *
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -2,7 +2,12 @@
 import {startResponse} from './responses.js';
 import {createAttempts} from './attempts.js';
 import {chooseEndpoint} from './choose-endpoint.js';
-import {observeLatency, type EndpointState} from './endpoint-table.js';
+import {
+  acceptsRequests,
+  observeLatency,
+  type EndpointState,
+} from './endpoint-table.js';
+import {observeNotices} from './endpoint-notices.js';
 import type {ExchangeResult, Exchange, ExchangeContext} from './exchange.js';
 import type {Headers} from './types.js';
 
@@ -165,10 +170,8 @@
   ctx: ExchangeContext,
   tried: ReadonlySet<EndpointId>,
 ): EndpointState | undefined {
-  const ready = ctx.table
-    .ofService(service.name)
-    .filter(state => state.record.state === 'ready');
-  return chooseEndpoint(ready, tried, performance.now(), ctx.random.next());
+  const accepting = ctx.table.ofService(service.name).filter(acceptsRequests);
+  return chooseEndpoint(accepting, tried, performance.now(), ctx.random.next());
 }
 
 function sendOnce(
@@ -222,6 +225,8 @@
         answered(responseStatus, responseHeaders) {
           status = responseStatus;
           headers = responseHeaders;
+          const responseFacts = ctx.dialect.readResponse(status, headers);
+          observeNotices(ctx.table, state, responseFacts);
         },
         data(chunk) {
           receivedBytes += chunk.length;
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -1,6 +1,7 @@
 import type {EndpointId} from '@chivewick/common';
 import type {Stage} from '@chivewick/engines';
 import type {PathRequest} from './choose-path.js';
+import {observeNotices} from './endpoint-notices.js';
 import type {EndpointState} from './endpoint-table.js';
 import {createEventSplitter} from './event-splitter.js';
 import type {Exchange, ExchangeContext} from './exchange.js';
@@ -188,6 +189,7 @@
       status = responseStatus;
       headers = responseHeaders;
       const responseFacts = ctx.dialect.readResponse(status, headers);
+      if (first !== undefined) observeNotices(ctx.table, first, responseFacts);
       if (
         responseFacts.requestId !== undefined &&
         responseFacts.requestId !== requestId
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -193,6 +193,8 @@
   readonly suspectAddress?: string;
   /** Whether the response has a content encoding other than identity. */
   readonly encoded: boolean;
+  /** Whether the endpoint states that it is about to stop. */
+  readonly leaving: boolean;
 }
 
 type HeaderValue = string | string[] | undefined;
--- a/packages/gateway/test/choose-path.test.ts
+++ b/packages/gateway/test/choose-path.test.ts
@@ -57,6 +57,7 @@
     slowness: 1,
     slownessAtMs: 0,
     removed: false,
+    leaving: false,
   };
 }
 
--- /dev/null
+++ b/packages/gateway/test/endpoint-notices.test.ts
@@ -0,0 +1,74 @@
+// Guards against requests to an endpoint that has stated, in a response, that it stops or
+// wants none.
+import assert from 'node:assert/strict';
+import {after, test} from 'node:test';
+import {
+  closeHarnesses,
+  config,
+  MODEL,
+  record,
+  respond,
+  route,
+  sendRequest,
+  startEndpoint,
+  startHarness,
+  type Behavior,
+  type FakeEndpoint,
+} from './harness.js';
+
+after(closeHarnesses);
+
+const SIGNED = 'signature: s\r\n';
+const EVENT = 'id: 1\ndata: 1\n\n';
+/** Slower than the others, so that it is chosen only in their place. */
+const works: Behavior = (socket, head) =>
+  setTimeout(() => respond(EVENT)(socket, head), 60);
+const leaves = respond(EVENT, '200 OK', `${SIGNED}leaving: 1\r\n`);
+const STREAM_ROUTE = route({
+  kind: 'stream',
+  targets: [{service: MODEL, weight: 1}],
+});
+
+const SERVICES = {
+  plain: {},
+  stream: {
+    service: MODEL,
+    accelerator: 'card',
+    layers: {from: 0, to: 80},
+  },
+} as const;
+
+async function start(
+  kind: keyof typeof SERVICES,
+  endpoints: readonly FakeEndpoint[],
+) {
+  const {port} = await startHarness({
+    config: config(kind === 'stream' ? {routes: [STREAM_ROUTE]} : {}),
+    records: endpoints.map(({address}, index) =>
+      record(`e${index}`, address, SERVICES[kind]),
+    ),
+  });
+  return async (count: number) => {
+    const statuses: number[] = [];
+    for (let n = 0; n < count; n++) {
+      const reply = await sendRequest(port, {
+        headers: {'request-id': `q${n}`},
+        body: `${n}`,
+      });
+      statuses.push(reply.status);
+    }
+    return statuses;
+  };
+}
+
+for (const kind of ['plain', 'stream'] as const)
+  test(`notices: an endpoint that states it is leaving gets no further ${kind} request`, async () => {
+    const endpoints = await Promise.all([
+      startEndpoint(leaves),
+      startEndpoint(works),
+    ]);
+    const send = await start(kind, endpoints);
+    const statuses = await send(12);
+    assert.deepEqual(new Set(statuses), new Set([200]));
+    assert.ok(endpoints[0].heads.length <= 1);
+  });
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -106,6 +106,7 @@
     notRun: headers['not-run'] !== undefined || status === 421,
     suspectAddress: undefined,
     encoded: false,
+    leaving: headers['leaving'] !== undefined,
   }),
 };
 
