Give an endpoint the pause that it asks for in a refusal

A 503 may carry Retry-After: the endpoint wants nothing from this host for so long. Pauses are kept for the incarnation, up to ten minutes; if all endpoints ask for one, callers are refused at once.

--- a/packages/common/src/log-events/gateway.ts
+++ b/packages/common/src/log-events/gateway.ts
@@ -91,6 +91,11 @@
     level: 'info',
     message: 'endpoint states that it is about to stop',
   },
+  endpointPaused: {
+    number: 1038,
+    level: 'info',
+    message: 'endpoint asks for no requests for a while',
+  },
   linesDropped: {
     number: 1040,
     level: 'warn',
--- a/packages/gateway/src/coordination/coordination.ts
+++ b/packages/gateway/src/coordination/coordination.ts
@@ -358,7 +358,7 @@
       const state = table.get(endpoint);
       return (
         state !== undefined &&
-        acceptsRequests(state) &&
+        acceptsRequests(state, performance.now()) &&
         state.record.address === address
       );
     });
--- a/packages/gateway/src/coordination/path-asker.ts
+++ b/packages/gateway/src/coordination/path-asker.ts
@@ -64,7 +64,7 @@
     const nowMs = performance.now();
     const states = table.ofService(service);
     const unusable = states.filter(
-      state => state.suspectedUntilMs > nowMs || !acceptsRequests(state),
+      state => state.suspectedUntilMs > nowMs || !acceptsRequests(state, nowMs),
     );
     const full = states.filter(state => state.fullUntilMs > nowMs);
     return {
--- a/packages/gateway/src/endpoint-notices.ts
+++ b/packages/gateway/src/endpoint-notices.ts
@@ -1,6 +1,12 @@
 import type {EndpointState, EndpointTable} from './endpoint-table.js';
 import type {ResponseFacts} from './types.js';
 
+/**
+ * Longest pause that one response may ask for: a wrong header must not take an endpoint
+ * out of use for good.
+ */
+const MAX_PAUSE_MS = 10 * 60_000;
+
 /**
  * Takes over what an endpoint states about itself in a response.
  *
@@ -13,4 +19,6 @@
   facts: ResponseFacts,
 ): void {
   if (facts.leaving) table.leave(state);
+  if (facts.retryAfterMs !== undefined)
+    table.pause(state, Math.min(MAX_PAUSE_MS, facts.retryAfterMs));
 }
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -54,6 +54,8 @@
   removed: boolean;
   /** Whether it has stated in a response that it is about to stop. */
   leaving: boolean;
+  /** It has asked this host for no requests until this time. */
+  pausedUntilMs: number;
 }
 
 /** The registered endpoints with their load and health. */
@@ -75,6 +77,8 @@
   suspect(state: EndpointState, reason: string): void;
   /** Ends the use of an endpoint for good; a restart is another endpoint. */
   leave(state: EndpointState): void;
+  /** Sends an endpoint nothing for a while, as it has asked. */
+  pause(state: EndpointState, durationMs: number): void;
   observeSlowness(state: EndpointState, slowness: number): void;
   /** Forgets the load that other hosts put on the endpoints. */
   clearOthersLoad(): void;
@@ -160,6 +164,7 @@
       slownessAtMs: 0,
       removed: false,
       leaving: false,
+      pausedUntilMs: 0,
     });
   }
 
@@ -220,7 +225,8 @@
     ofService,
     usable: service =>
       ofService(service).filter(
-        state => acceptsRequests(state) && state.suspectedUntilMs <= now(),
+        state =>
+          acceptsRequests(state, now()) && state.suspectedUntilMs <= now(),
       ),
     suspect(state, reason) {
       const isSuspected = state.suspectedUntilMs > now();
@@ -240,6 +246,13 @@
       const {id: endpoint, address} = state.record;
       log.event('endpointLeaving', {endpoint, address});
     },
+    pause(state, durationMs) {
+      const untilMs = now() + durationMs;
+      if (untilMs <= state.pausedUntilMs) return;
+      state.pausedUntilMs = untilMs;
+      const {id: endpoint, address} = state.record;
+      log.event('endpointPaused', {endpoint, address, durationMs});
+    },
     observeSlowness(state, slowness) {
       state.slowness = slowness;
       state.slownessAtMs = now();
@@ -266,10 +279,14 @@
  * than none.
  *
  * @example
- * const endpoints = table.ofService(service).filter(acceptsRequests);
+ * const mayBeUsed = acceptsRequests(state, performance.now());
  */
-export function acceptsRequests(state: EndpointState): boolean {
-  return state.record.state === 'ready' && !state.leaving;
+export function acceptsRequests(state: EndpointState, nowMs: number): boolean {
+  return (
+    state.record.state === 'ready' &&
+    !state.leaving &&
+    state.pausedUntilMs <= nowMs
+  );
 }
 
 /**
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -170,8 +170,11 @@
   ctx: ExchangeContext,
   tried: ReadonlySet<EndpointId>,
 ): EndpointState | undefined {
-  const accepting = ctx.table.ofService(service.name).filter(acceptsRequests);
-  return chooseEndpoint(accepting, tried, performance.now(), ctx.random.next());
+  const nowMs = performance.now();
+  const accepting = ctx.table
+    .ofService(service.name)
+    .filter(state => acceptsRequests(state, nowMs));
+  return chooseEndpoint(accepting, tried, nowMs, ctx.random.next());
 }
 
 function sendOnce(
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -195,6 +195,8 @@
   readonly encoded: boolean;
   /** Whether the endpoint states that it is about to stop. */
   readonly leaving: boolean;
+  /** Time for which the endpoint wants no request from this host. */
+  readonly retryAfterMs?: number;
 }
 
 type HeaderValue = string | string[] | undefined;
--- a/packages/gateway/test/choose-path.test.ts
+++ b/packages/gateway/test/choose-path.test.ts
@@ -58,6 +58,7 @@
     slownessAtMs: 0,
     removed: false,
     leaving: false,
+    pausedUntilMs: 0,
   };
 }
 
--- a/packages/gateway/test/endpoint-notices.test.ts
+++ b/packages/gateway/test/endpoint-notices.test.ts
@@ -72,3 +72,35 @@
     assert.deepEqual(new Set(statuses), new Set([200]));
     assert.ok(endpoints[0].heads.length <= 1);
   });
+
+const asksForPause = respond(
+  '',
+  '503 Service Unavailable',
+  'not-run: 1\r\nretry-after: 30\r\n',
+);
+
+for (const kind of ['plain', 'stream'] as const) {
+  test(`notices: an endpoint that asks for a pause gets no ${kind} request in it`, async () => {
+    const endpoints = await Promise.all([
+      startEndpoint(asksForPause),
+      startEndpoint(works),
+    ]);
+    const send = await start(kind, endpoints);
+    for (let n = 0; n < 4; n++) {
+      assert.deepEqual(await send(1), [200]);
+      // Longer than an endpoint is avoided for that does not ask for a pause.
+      await new Promise(done => setTimeout(done, 300));
+    }
+    assert.ok(endpoints[0].heads.length <= 1);
+  });
+
+  test(`notices: ${kind} requests are refused while all endpoints ask for a pause`, async () => {
+    const endpoints = await Promise.all([
+      startEndpoint(asksForPause),
+      startEndpoint(asksForPause),
+    ]);
+    const send = await start(kind, endpoints);
+    assert.deepEqual(await send(3), [503, 503, 503]);
+    for (const {heads} of endpoints) assert.ok(heads.length <= 1);
+  });
+}
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -107,6 +107,9 @@
     suspectAddress: undefined,
     encoded: false,
     leaving: headers['leaving'] !== undefined,
+    retryAfterMs: headers['retry-after']
+      ? Number(headers['retry-after']) * 1_000
+      : undefined,
   }),
 };
 
