--- a/packages/common/src/log-events/gateway.ts
+++ b/packages/common/src/log-events/gateway.ts
@@ -96,6 +96,16 @@
     level: 'info',
     message: 'endpoint asks for no requests for a while',
   },
+  endpointsLost: {
+    number: 1039,
+    level: 'warn',
+    message: 'no endpoint can be reached; connecting through other hosts',
+  },
+  endpointsRegained: {
+    number: 1041,
+    level: 'info',
+    message: 'endpoints can be reached again',
+  },
   linesDropped: {
     number: 1040,
     level: 'warn',
--- a/packages/gateway/src/coordination/coordination.ts
+++ b/packages/gateway/src/coordination/coordination.ts
@@ -1,5 +1,6 @@
 import type {HostId, Logger, Random, ServiceName} from '@chivewick/common';
 import {createContacts} from '@chivewick/coordination';
+import type {Reachability} from '@chivewick/tunnels';
 import {
   choosePath,
   layersWithoutCapacity,
@@ -96,6 +97,7 @@
   readonly random: Random;
   readonly log: Logger;
   readonly isLeaseHolder: () => boolean;
+  readonly reachability: Pick<Reachability, 'check'>;
   /** Checks an endpoint that did not respond to another host. */
   readonly verify: (state: EndpointState) => void;
 }
@@ -124,6 +126,7 @@
   const quarantine = createQuarantine({
     self: self.id,
     others: () => fleet.others(),
+    reachability: options.reachability,
     log,
     onChange: announceEvidence,
   });
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,4 +1,5 @@
 import type {Failure, Logger, Random, RequestId} from '@chivewick/common';
+import type {Reachability} from '@chivewick/tunnels';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {EndpointTable} from './endpoint-table.js';
 import type {GatewayMetrics} from './metrics.js';
@@ -49,6 +50,7 @@
   readonly coordination: Coordination;
   readonly pipes: PipeUsage;
   readonly quarantine: Quarantine;
+  readonly reachability: Reachability;
   /** Newest fencing number that this host knows. */
   fence(): number | undefined;
 }
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -19,6 +19,8 @@
 export interface FleetHost extends RankedHost {
   /** `ip:port` for messages from other hosts. */
   readonly address: string;
+  /** `ip:port` of its tunnel server; undefined if it has none. */
+  readonly tunnelAddress?: string;
 }
 
 /** The hosts that share the endpoints. */
@@ -64,8 +66,8 @@
 
   /** Writes this host's address; returns whether the store now contains it. */
   async function register(): Promise<boolean> {
-    const {address, failureDomain, cores} = self;
-    const value = {address, failureDomain, cores};
+    const {address, failureDomain, cores, tunnelAddress} = self;
+    const value = {address, failureDomain, cores, tunnelAddress};
     const created = await store.put(key, value, 'absent');
     if (created.kind === 'written') return true;
     const found = await store.get(key);
@@ -132,10 +134,12 @@
 
 /** Returns undefined for an entry that another version or writer has left. */
 function decode(id: HostId, value: unknown): FleetHost | undefined {
-  const {address, failureDomain, cores} = (value ?? {}) as Partial<FleetHost>;
+  const {address, failureDomain, cores, tunnelAddress} = (value ??
+    {}) as Partial<FleetHost>;
   if (typeof address !== 'string' || typeof failureDomain !== 'string')
     return undefined;
-  return typeof cores === 'number'
-    ? {id, address, failureDomain, cores}
-    : undefined;
+  if (typeof cores !== 'number') return undefined;
+  return typeof tunnelAddress === 'string'
+    ? {id, address, failureDomain, cores, tunnelAddress}
+    : {id, address, failureDomain, cores};
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,11 @@
   type ObjectFeed,
   type StoredObject,
 } from '@chivewick/platform';
+import {
+  startTunnelServer,
+  type Dialer,
+  type Reachability,
+} from '@chivewick/tunnels';
 import {createServer, type Server} from 'node:http';
 import {createCallerServer} from './caller-server.js';
 import {startCoordination} from './coordination/index.js';
@@ -56,6 +61,8 @@
   readonly readiness: string;
   /** UDP address for messages from other hosts. */
   readonly peers: string;
+  /** Where other hosts open tunnels to endpoints. */
+  readonly tunnels?: string;
   readonly metrics?: string;
 }
 
@@ -67,6 +74,8 @@
   readonly feed: ObjectFeed;
   readonly dialect: Dialect;
   readonly control: EngineControl;
+  readonly dialer: Dialer;
+  readonly reachability: Reachability;
   readonly log: Logger;
   /** Kinds of the store's objects. */
   readonly kinds: {readonly config: string; readonly endpoints: string};
@@ -106,7 +115,8 @@
   const freshness = createFreshness();
   const metrics = createGatewayMetrics();
   const closing = new AbortController();
-  const upstream = createUpstream();
+  const {reachability} = options;
+  const upstream = createUpstream(options.dialer);
   let routing: Routing | undefined;
   let configObjectVersion = 0;
 
@@ -136,6 +146,7 @@
     random,
     log,
     isLeaseHolder: () => options.fence() !== undefined,
+    reachability,
     verify: state => suspects.verify(state),
   });
   const suspects = recheckSuspects({
@@ -160,6 +171,7 @@
     coordination,
     pipes,
     quarantine: coordination.quarantine,
+    reachability,
     fence: options.fence,
   };
 
@@ -238,6 +250,14 @@
     servers.push(metricsServer);
     await listen(metricsServer, options.addresses.metrics);
   }
+  const tunnels =
+    options.addresses.tunnels === undefined
+      ? undefined
+      : await startTunnelServer({
+          address: options.addresses.tunnels,
+          isEndpoint: address => table.byAddress(address) !== undefined,
+          reachability,
+        });
   log.event('gatewayStarted', {host: options.self.id, ...options.addresses});
 
   function isReady(): boolean {
@@ -283,6 +303,8 @@
     if (closing.signal.aborted) return;
     closing.abort();
     coordination.close();
+    reachability.close();
+    tunnels?.close();
     for (const server of servers) {
       server.close();
       server.closeAllConnections();
--- a/packages/gateway/src/quarantine/index.ts
+++ b/packages/gateway/src/quarantine/index.ts
@@ -1,2 +1,1 @@
-export * from './is-listening.js';
 export * from './quarantine.js';
--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -7,10 +7,10 @@
   type EvidenceReport,
   type Fingerprint,
 } from '@chivewick/crash-evidence';
+import {isListening, type Reachability} from '@chivewick/tunnels';
 import {createHash} from 'node:crypto';
 import type {EndpointState} from '../endpoint-table.js';
 import type {Exchange} from '../exchange.js';
-import {isListening} from './is-listening.js';
 
 /** Parts of a prompt that are considered; the first ones are the most shared. */
 const MAX_PARTS = 16;
@@ -50,6 +50,7 @@
   readonly self: HostId;
   /** All other hosts that share the endpoints. */
   readonly others: () => readonly {readonly id: HostId}[];
+  readonly reachability: Pick<Reachability, 'check'>;
   readonly log: Logger;
   /** Called after a change that other hosts should know at once. */
   readonly onChange: () => void;
@@ -82,6 +83,8 @@
     async disconnected(exchange, state, hasBegun) {
       const {id: endpoint, address, startedAtMs} = state.record;
       if (await isListening(address)) return;
+      // To a host that is cut off, every endpoint looks crashed.
+      if (await options.reachability.check()) return;
       const request = digestOf(exchange);
       const parts = partsOf(exchange);
       const suspect = {request, hasBegun, parts};
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -196,6 +196,7 @@
     const finish = (outcome: Outcome) => {
       clearTimeout(timer);
       res.off('close', onCallerLeft);
+      unsubscribe();
       state.running -= 1;
       updateEndpoint(ctx, state, outcome, performance.now() - startMs);
       resolve(outcome);
@@ -209,6 +210,12 @@
       finish({kind: 'deadline', sent});
     }, leftMs);
     res.on('close', onCallerLeft);
+    // No response will arrive; a request that may be repeated goes another way.
+    const unsubscribe = ctx.reachability.onCutOff(() => {
+      if (!sent || rule.kind !== 'repeatable') return;
+      call.abort();
+      finish({kind: 'unknown', reason: 'this host was cut off'});
+    });
     const call = ctx.upstream.send(
       {
         address,
@@ -291,6 +298,8 @@
   }
   if (outcome.kind === 'deadline') observeLatency(state, latencyMs);
   state.consecutiveFailures += 1;
+  // The endpoint is not the cause if this host reaches none.
+  if (ctx.reachability.isCutOff()) return;
   if (
     outcome.kind === 'not_run' ||
     state.consecutiveFailures >= FAILURES_UNTIL_SUSPECTED
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -102,6 +102,8 @@
     let ended = false;
     let checking = false;
     let paused = false;
+    /** Whether the connection was opened before this host was cut off. */
+    let isCutOff = false;
     let repairs = 0;
     let attemptEvents = 0;
     let lastActivityMs = performance.now();
@@ -120,6 +122,7 @@
       res.off('close', onCallerLeft);
       res.off('drain', onDrain);
       unsubscribe();
+      unsubscribeCutOff();
       resolve(outcome);
     };
     const abortWith = (outcome: StreamAttemptOutcome) => {
@@ -145,6 +148,13 @@
       if (load.holds(state) && silentMs > SUSPECT_SILENCE_MS) void checkPath();
     });
 
+    // The connection may live on, so only a silent stream takes another way.
+    const unsubscribeCutOff = ctx.reachability.onCutOff(() => {
+      isCutOff = sent;
+      if (performance.now() - lastActivityMs > SUSPECT_SILENCE_MS)
+        void checkPath();
+    });
+
     const leftMs = exchange.deadlineAtMs - performance.now();
     const call: UpstreamCall = ctx.upstream.send(
       {
@@ -167,7 +177,7 @@
         data,
         ended: onResponseComplete,
         failed: err => {
-          if (!sent && first !== undefined) {
+          if (!sent && first !== undefined && !ctx.reachability.isCutOff()) {
             ctx.table.suspect(first, err.message);
           }
           finish(
@@ -321,6 +331,8 @@
     /** Probes why no event arrives, and repairs the path or ends the attempt. */
     async function checkPath(): Promise<void> {
       if (checking || ended || paused) return;
+      if (isCutOff && options.mayContinue())
+        return abortWith({kind: 'broken', reason: 'this host was cut off'});
       checking = true;
       const activityMs = lastActivityMs;
       const findings = await ctx.probe.check(stages, requestId);
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -1,11 +1,7 @@
-import {Agent, request, type IncomingMessage} from 'node:http';
-import type {NetConnectOpts} from 'node:net';
-import {connectResetSafe} from './reset-safe-connection.js';
+import {createDialingAgent, type Dialer} from '@chivewick/tunnels';
+import {request, type IncomingMessage} from 'node:http';
 import type {Headers} from './types.js';
 
-/** Opening a connection within the same region takes a few milliseconds. */
-const CONNECT_TIMEOUT_MS = 300;
-
 /** A request to an endpoint. */
 export interface UpstreamRequest {
   /** `ip:port`. */
@@ -41,12 +37,6 @@
   close(): Promise<void>;
 }
 
-class ResetSafeAgent extends Agent {
-  override createConnection(options: NetConnectOpts) {
-    return connectResetSafe(options);
-  }
-}
-
 /**
  * Creates the HTTP client for endpoints. Each request uses its own connection: an
  * endpoint may send bytes after a complete response or drop an idle connection,
@@ -55,10 +45,11 @@
  * reset.
  *
  * @example
+ * const upstream = createUpstream(dialer);
  * const call = upstream.send({address, method: 'GET', path: '/', headers: []}, events);
  */
-export function createUpstream(): Upstream {
-  const agent = new ResetSafeAgent({keepAlive: false});
+export function createUpstream(dialer: Dialer): Upstream {
+  const agent = createDialingAgent(dialer);
   return {
     send(options, events) {
       const [host, port] = options.address.split(':');
@@ -72,18 +63,12 @@
       const finish = (notify: () => void) => {
         if (done) return;
         done = true;
-        clearTimeout(connectTimer);
         notify();
       };
       const fail = (err: Error) => finish(() => events.failed(err));
       const call = request({host, port, method, path, headers, agent});
-      const connectTimer = setTimeout(
-        () => call.destroy(new Error('connect timeout')),
-        CONNECT_TIMEOUT_MS,
-      );
       call.once('socket', socket => {
         socket.once('connect', () => {
-          clearTimeout(connectTimer);
           if (!done) events.sent();
         });
       });
--- /dev/null
+++ b/packages/gateway/test/cut-off.test.ts
@@ -0,0 +1,153 @@
+// Guards against the loss of requests at a host that reaches no endpoint by itself while
+// other hosts do, and against blaming the endpoints or the requests for it.
+import {id, type FailureDomain, type HostId} from '@chivewick/common';
+import type {TunnelHost} from '@chivewick/tunnels';
+import assert from 'node:assert/strict';
+import {connect, createServer, type AddressInfo} from 'node:net';
+import {after, test} from 'node:test';
+import {
+  closeHarnesses,
+  config,
+  header,
+  MODEL,
+  record,
+  respond,
+  route,
+  sendRequest,
+  startEndpoint,
+  startHarness,
+  until,
+  type Behavior,
+  type FakeEndpoint,
+} from './harness.js';
+
+const closers: (() => void)[] = [];
+after(async () => {
+  closers.forEach(close => close());
+  await closeHarnesses();
+});
+
+const event = (number: number) => `id: ${number}\ndata: ${number}\n\n`;
+const works = respond(event(1));
+
+/** A host that reaches an endpoint in place of each that has crashed for this one. */
+async function startTunnelHost(
+  endpoint: FakeEndpoint,
+): Promise<{host: TunnelHost; opened: () => number}> {
+  let opened = 0;
+  const server = createServer(client => {
+    client.on('error', () => {});
+    client.once('data', () => {
+      opened += 1;
+      const [ip, port] = endpoint.address.split(':');
+      const upstream = connect(Number(port), ip);
+      client.write('opened\n');
+      upstream.on('error', () => client.destroy());
+      upstream.pipe(client);
+      client.pipe(upstream);
+    });
+  });
+  closers.push(() => server.close());
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as AddressInfo;
+  return {
+    host: {
+      id: id<HostId>('other'),
+      tunnelAddress: `127.0.0.1:${port}`,
+      failureDomain: id<FailureDomain>('b'),
+    },
+    opened: () => opened,
+  };
+}
+
+const STREAM = {
+  service: MODEL,
+  accelerator: 'card',
+  layers: {from: 0, to: 80},
+} as const;
+const STREAM_ROUTE = route({
+  kind: 'stream',
+  resumable: true,
+  targets: [{service: MODEL, weight: 1}],
+});
+
+/** A gateway whose endpoints are lost to it; `real` is reached through another host. */
+async function start(
+  kind: 'repeatable' | 'once' | 'stream',
+  endpoints: readonly FakeEndpoint[],
+  real: FakeEndpoint,
+) {
+  const isStream = kind === 'stream';
+  const tunnel = await startTunnelHost(real);
+  const harness = await startHarness({
+    config: config({routes: [isStream ? STREAM_ROUTE : route({kind})]}),
+    records: endpoints.map(({address}, index) =>
+      record(`e${index}`, address, isStream ? STREAM : {}),
+    ),
+    tunnelHosts: [tunnel.host],
+  });
+  return {...harness, opened: tunnel.opened};
+}
+
+const endpointsOf = (behavior: Behavior, count: number) =>
+  Promise.all(Array.from({length: count}, () => startEndpoint(behavior)));
+
+for (const kind of ['repeatable', 'once', 'stream'] as const)
+  test(`cut off: ${kind} requests are served through another host, each sent once`, async () => {
+    const endpoints = await endpointsOf(works, 4);
+    const real = await startEndpoint(works);
+    const {port, gateway, opened} = await start(kind, endpoints, real);
+    for (const endpoint of endpoints) endpoint.crash();
+    for (let n = 0; n < 6; n++) {
+      const headers = {'request-id': `q${n}`};
+      const reply = await sendRequest(port, {headers, body: `${n}`});
+      assert.equal(reply.status, 200);
+    }
+    assert.equal(real.heads.length, 6);
+    assert.equal(opened(), 6);
+    for (const state of gateway.table.all())
+      assert.equal(state.suspectedUntilMs, 0);
+  });
+
+test('cut off: a stream that falls silent goes on through another host', async () => {
+  const silent: Behavior = (socket, head) =>
+    void socket.write(
+      `HTTP/1.1 200 OK\r\nsignature: s\r\nrequest-id: ${header(head, 'request-id')}\r\n\r\n${event(1)}`,
+    );
+  const endpoints = await endpointsOf(silent, 3);
+  const real = await startEndpoint((socket, head) =>
+    header(head, 'after-event') === '1'
+      ? respond(event(2))(socket, head)
+      : works(socket, head),
+  );
+  const {port} = await start('stream', endpoints, real);
+  const reply = sendRequest(port, {headers: {'request-id': 'q'}, body: 'a'});
+  await until(() => endpoints.some(({heads}) => heads.length > 0));
+  for (const endpoint of endpoints) endpoint.refuse();
+  await sendRequest(port, {headers: {'request-id': 'r'}, body: 'b'});
+  const {status, body, complete} = await reply;
+  assert.deepEqual(
+    {status, body, complete},
+    {status: 200, body: event(1) + event(2), complete: true},
+  );
+});
+
+// Requests that were reset meet an endpoint that refuses, as after a crash, each time.
+test('cut off: requests that are reset are not taken for the cause of crashes', async () => {
+  const resets: Behavior = socket => socket.resetAndDestroy();
+  const endpoints = await endpointsOf(resets, 8);
+  const real = await startEndpoint(resets);
+  const {port} = await start('stream', endpoints, real);
+  for (const endpoint of endpoints) endpoint.crash();
+  const send = (n: number) =>
+    sendRequest(port, {
+      headers: {'request-id': `q${n}`, parts: 'common,part,own'},
+      body: 'the same',
+    });
+  for (let n = 0; n < 8; n++) {
+    await send(n);
+    await new Promise(done => setTimeout(done, 100));
+  }
+  real.behavior = works;
+  assert.equal((await send(9)).status, 200);
+});
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -1,4 +1,5 @@
 import {
+  createRandom,
   createSilentLogger,
   fail,
   id,
@@ -16,6 +17,11 @@
   ObjectFeed,
   StoredObject,
 } from '@chivewick/platform';
+import {
+  createDialer,
+  createReachability,
+  type TunnelHost,
+} from '@chivewick/tunnels';
 import {createSocket} from 'node:dgram';
 import {request, type IncomingHttpHeaders} from 'node:http';
 import {
@@ -244,6 +250,8 @@
   behavior: Behavior;
   /** Ends it as a crash does: all connections close, and new ones are refused. */
   crash(): void;
+  /** Refuses new connections; those that are open live on. */
+  refuse(): void;
 }
 
 const servers: Server[] = [];
@@ -257,6 +265,7 @@
     address: '',
     heads,
     behavior,
+    refuse: () => void server.close(),
     crash() {
       server.close();
       for (const socket of sockets) socket.destroy();
@@ -338,6 +347,10 @@
 
 /** Starts a gateway with a fake store, and waits until it has its endpoints. */
 export async function startHarness(options: {
+  /** Hosts that open tunnels. */
+  tunnelHosts?: readonly TunnelHost[];
+  /** Stands in for the check whether this host reaches endpoints. */
+  accepts?: (address: string) => Promise<boolean>;
   config?: RoutingConfig;
   records?: readonly EndpointRecord[];
   bounds?: Partial<HostBounds>;
@@ -354,7 +367,23 @@
   for (const item of options.records ?? []) {
     store.put(`endpoints/${item.id}`, item);
   }
+  const started: {gateway?: Gateway} = {};
+  const random = createRandom();
+  const reachability = createReachability({
+    endpoints: () =>
+      started.gateway?.table.all().map(state => state.record.address) ?? [],
+    random,
+    onChange: () => {},
+    accepts: options.accepts,
+  });
   const gateway = await startGateway({
+    reachability,
+    dialer: createDialer({
+      failureDomain: id<FailureDomain>('a'),
+      hosts: () => options.tunnelHosts ?? [],
+      reachability,
+      random,
+    }),
     self: {
       id: id<HostId>('host-1'),
       address: `127.0.0.1:${peers}`,
@@ -385,6 +414,7 @@
     },
     fence: () => undefined,
   });
+  started.gateway = gateway;
   gateways.push(gateway);
   await until(() => gateway.config() !== undefined);
   await until(
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -1,5 +1,7 @@
 // Guards against forwarding a truncated response as complete, and against treating
 // bytes after a response as the response to the next request.
+import {createRandom, id, type FailureDomain} from '@chivewick/common';
+import {createDialer} from '@chivewick/tunnels';
 import assert from 'node:assert/strict';
 import {
   createServer,
@@ -11,7 +13,18 @@
 import {createUpstream} from '../src/upstream.js';
 
 const servers: Server[] = [];
-const upstream = createUpstream();
+/** Connects directly, as a host does that reaches its endpoints. */
+const upstream = createUpstream(
+  createDialer({
+    failureDomain: id<FailureDomain>('a'),
+    hosts: () => [],
+    reachability: {
+      isCutOff: () => false,
+      check: () => Promise.resolve(false),
+    },
+    random: createRandom(),
+  }),
+);
 after(async () => {
   for (const server of servers) server.close();
   await upstream.close();
--- /dev/null
+++ b/packages/tunnels/src/tunnel-server.ts
@@ -0,0 +1,87 @@
+import {createServer, type Server, type Socket} from 'node:net';
+import {formatReply, parseRequest, type REPLIES} from './protocol.js';
+import {readLine} from './read-line.js';
+import type {Reachability} from './reachability.js';
+import {createResetSafeStream} from './reset-safe-stream.js';
+import {openSocket} from './sockets.js';
+
+/** A host sends the line as soon as it is connected. */
+const REQUEST_TIMEOUT_MS = 1_000;
+/** Opening a connection within the same region takes a few milliseconds. */
+const CONNECT_TIMEOUT_MS = 300;
+/** Far more than the streams of one failure domain; bounds the descriptors. */
+const MAX_TUNNELS = 800;
+
+/** Connects other hosts to endpoints. */
+export interface TunnelServer {
+  close(): void;
+}
+
+/**
+ * Starts the server. It opens connections to known endpoints only, and passes bytes on
+ * unchanged; a reset stays a reset, so that a response that is cut off does not
+ * appear complete. Rejects if the address cannot be bound.
+ *
+ * @param options.address `ip:port` to listen on.
+ * @example
+ * const server = await startTunnelServer({address, isEndpoint, reachability});
+ */
+export async function startTunnelServer(options: {
+  readonly address: string;
+  readonly isEndpoint: (address: string) => boolean;
+  readonly reachability: Pick<Reachability, 'isCutOff'>;
+}): Promise<TunnelServer> {
+  const {isEndpoint, reachability} = options;
+  const clients = new Set<Socket>();
+  const server = createServer({noDelay: true}, client => {
+    clients.add(client);
+    client.on('error', () => client.destroy());
+    client.once('close', () => clients.delete(client));
+    if (clients.size > MAX_TUNNELS) return reject(client, 'refused');
+    void serve(client);
+  });
+
+  async function serve(client: Socket): Promise<void> {
+    try {
+      const target = parseRequest(await readLine(client, REQUEST_TIMEOUT_MS));
+      if (target === undefined || !isEndpoint(target))
+        return reject(client, 'refused');
+      if (reachability.isCutOff()) return reject(client, 'cutOff');
+      join(client, await openSocket(target, CONNECT_TIMEOUT_MS));
+    } catch {
+      // The reply tells the other host, which logs what becomes of its request.
+      reject(client, 'refused');
+    }
+  }
+
+  await listen(server, options.address);
+  return {
+    close() {
+      server.close();
+      for (const client of clients) client.destroy();
+    },
+  };
+}
+
+function reject(client: Socket, reply: keyof typeof REPLIES): void {
+  client.end(formatReply(reply));
+}
+
+/** Passes bytes between a host and an endpoint until one of them closes. */
+function join(client: Socket, opened: Socket): void {
+  if (client.destroyed) return void opened.destroy();
+  const endpoint = createResetSafeStream(Promise.resolve(opened));
+  client.write(formatReply('opened'));
+  endpoint.once('error', () => client.resetAndDestroy());
+  client.once('close', () => endpoint.destroy());
+  endpoint.pipe(client);
+  client.pipe(endpoint);
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const [ip, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(port), ip, resolve);
+  });
+}
