Take another host's way per endpoint, not only when all are lost

A connection that this host does not get is now tried through another host, per endpoint, which also tells a crash from a cut.

--- a/packages/common/src/log-events/gateway.ts
+++ b/packages/common/src/log-events/gateway.ts
@@ -96,15 +96,15 @@
     level: 'info',
     message: 'endpoint asks for no requests for a while',
   },
-  endpointsLost: {
+  endpointUnreachable: {
     number: 1039,
     level: 'warn',
-    message: 'no endpoint can be reached; connecting through other hosts',
+    message: 'endpoint cannot be reached; connecting through other hosts',
   },
-  endpointsRegained: {
+  endpointReachable: {
     number: 1041,
     level: 'info',
-    message: 'endpoints can be reached again',
+    message: 'endpoint can be reached again, or is no longer used',
   },
   linesDropped: {
     number: 1040,
--- a/packages/gateway/src/coordination/coordination.ts
+++ b/packages/gateway/src/coordination/coordination.ts
@@ -1,6 +1,6 @@
 import type {HostId, Logger, Random, ServiceName} from '@chivewick/common';
 import {createContacts} from '@chivewick/coordination';
-import type {Reachability} from '@chivewick/tunnels';
+import type {Dialer} from '@chivewick/tunnels';
 import {
   choosePath,
   layersWithoutCapacity,
@@ -97,7 +97,7 @@
   readonly random: Random;
   readonly log: Logger;
   readonly isLeaseHolder: () => boolean;
-  readonly reachability: Pick<Reachability, 'check'>;
+  readonly dialer: Pick<Dialer, 'isListening'>;
   /** Checks an endpoint that did not respond to another host. */
   readonly verify: (state: EndpointState) => void;
 }
@@ -126,7 +126,7 @@
   const quarantine = createQuarantine({
     self: self.id,
     others: () => fleet.others(),
-    reachability: options.reachability,
+    dialer: options.dialer,
     log,
     onChange: announceEvidence,
   });
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,5 +1,5 @@
 import type {Failure, Logger, Random, RequestId} from '@chivewick/common';
-import type {Reachability} from '@chivewick/tunnels';
+import type {Dialer} from '@chivewick/tunnels';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {EndpointTable} from './endpoint-table.js';
 import type {GatewayMetrics} from './metrics.js';
@@ -50,7 +50,7 @@
   readonly coordination: Coordination;
   readonly pipes: PipeUsage;
   readonly quarantine: Quarantine;
-  readonly reachability: Reachability;
+  readonly dialer: Dialer;
   /** Newest fencing number that this host knows. */
   fence(): number | undefined;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 import {
   startTunnelServer,
   type Dialer,
-  type Reachability,
+  type DirectPaths,
 } from '@chivewick/tunnels';
 import {createServer, type Server} from 'node:http';
 import {createCallerServer} from './caller-server.js';
@@ -75,7 +75,7 @@
   readonly dialect: Dialect;
   readonly control: EngineControl;
   readonly dialer: Dialer;
-  readonly reachability: Reachability;
+  readonly paths: DirectPaths;
   readonly log: Logger;
   /** Kinds of the store's objects. */
   readonly kinds: {readonly config: string; readonly endpoints: string};
@@ -115,8 +115,8 @@
   const freshness = createFreshness();
   const metrics = createGatewayMetrics();
   const closing = new AbortController();
-  const {reachability} = options;
-  const upstream = createUpstream(options.dialer);
+  const {dialer, paths} = options;
+  const upstream = createUpstream(dialer);
   let routing: Routing | undefined;
   let configObjectVersion = 0;
 
@@ -146,7 +146,7 @@
     random,
     log,
     isLeaseHolder: () => options.fence() !== undefined,
-    reachability,
+    dialer,
     verify: state => suspects.verify(state),
   });
   const suspects = recheckSuspects({
@@ -171,7 +171,7 @@
     coordination,
     pipes,
     quarantine: coordination.quarantine,
-    reachability,
+    dialer,
     fence: options.fence,
   };
 
@@ -256,7 +256,7 @@
       : await startTunnelServer({
           address: options.addresses.tunnels,
           isEndpoint: address => table.byAddress(address) !== undefined,
-          reachability,
+          paths,
         });
   log.event('gatewayStarted', {host: options.self.id, ...options.addresses});
 
@@ -303,7 +303,7 @@
     if (closing.signal.aborted) return;
     closing.abort();
     coordination.close();
-    reachability.close();
+    paths.close();
     tunnels?.close();
     for (const server of servers) {
       server.close();
--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -7,7 +7,7 @@
   type EvidenceReport,
   type Fingerprint,
 } from '@chivewick/crash-evidence';
-import {isListening, type Reachability} from '@chivewick/tunnels';
+import type {Dialer} from '@chivewick/tunnels';
 import {createHash} from 'node:crypto';
 import type {EndpointState} from '../endpoint-table.js';
 import type {Exchange} from '../exchange.js';
@@ -50,7 +50,7 @@
   readonly self: HostId;
   /** All other hosts that share the endpoints. */
   readonly others: () => readonly {readonly id: HostId}[];
-  readonly reachability: Pick<Reachability, 'check'>;
+  readonly dialer: Pick<Dialer, 'isListening'>;
   readonly log: Logger;
   /** Called after a change that other hosts should know at once. */
   readonly onChange: () => void;
@@ -82,9 +82,8 @@
     succeeded: exchange => evidence.recordSuccess(partsOf(exchange)),
     async disconnected(exchange, state, hasBegun) {
       const {id: endpoint, address, startedAtMs} = state.record;
-      if (await isListening(address)) return;
-      // To a host that is cut off, every endpoint looks crashed.
-      if (await options.reachability.check()) return;
+      // Another host is asked too: to one that is cut off, all endpoints look crashed.
+      if (await options.dialer.isListening(address)) return;
       const request = digestOf(exchange);
       const parts = partsOf(exchange);
       const suspect = {request, hasBegun, parts};
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -211,8 +211,8 @@
     }, leftMs);
     res.on('close', onCallerLeft);
     // No response will arrive; a request that may be repeated goes another way.
-    const unsubscribe = ctx.reachability.onCutOff(() => {
-      if (!sent || rule.kind !== 'repeatable') return;
+    const unsubscribe = ctx.dialer.onLost(lost => {
+      if (!sent || lost !== address || rule.kind !== 'repeatable') return;
       call.abort();
       finish({kind: 'unknown', reason: 'this host was cut off'});
     });
@@ -298,8 +298,6 @@
   }
   if (outcome.kind === 'deadline') observeLatency(state, latencyMs);
   state.consecutiveFailures += 1;
-  // The endpoint is not the cause if this host reaches none.
-  if (ctx.reachability.isCutOff()) return;
   if (
     outcome.kind === 'not_run' ||
     state.consecutiveFailures >= FAILURES_UNTIL_SUSPECTED
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -102,7 +102,7 @@
     let ended = false;
     let checking = false;
     let paused = false;
-    /** Whether the connection was opened before this host was cut off. */
+    /** Whether this host has lost the first stage since the connection was opened. */
     let isCutOff = false;
     let repairs = 0;
     let attemptEvents = 0;
@@ -122,7 +122,7 @@
       res.off('close', onCallerLeft);
       res.off('drain', onDrain);
       unsubscribe();
-      unsubscribeCutOff();
+      unsubscribeLost();
       resolve(outcome);
     };
     const abortWith = (outcome: StreamAttemptOutcome) => {
@@ -149,8 +149,9 @@
     });
 
     // The connection may live on, so only a silent stream takes another way.
-    const unsubscribeCutOff = ctx.reachability.onCutOff(() => {
-      isCutOff = sent;
+    const unsubscribeLost = ctx.dialer.onLost(lost => {
+      if (!sent || lost !== options.stages[0].address) return;
+      isCutOff = true;
       if (performance.now() - lastActivityMs > SUSPECT_SILENCE_MS)
         void checkPath();
     });
@@ -177,7 +178,7 @@
         data,
         ended: onResponseComplete,
         failed: err => {
-          if (!sent && first !== undefined && !ctx.reachability.isCutOff()) {
+          if (!sent && first !== undefined) {
             ctx.table.suspect(first, err.message);
           }
           finish(
@@ -331,17 +332,23 @@
     /** Probes why no event arrives, and repairs the path or ends the attempt. */
     async function checkPath(): Promise<void> {
       if (checking || ended || paused) return;
-      if (isCutOff && options.mayContinue())
-        return abortWith({kind: 'broken', reason: 'this host was cut off'});
+      if (leavesLostPath()) return;
       checking = true;
       const activityMs = lastActivityMs;
       const findings = await ctx.probe.check(stages, requestId);
-      if (!ended && lastActivityMs === activityMs)
+      if (!ended && lastActivityMs === activityMs && !leavesLostPath())
         await handleFindings(findings);
       lastCheckMs = performance.now();
       checking = false;
     }
 
+    /** Ends a silent attempt whose first stage is only reached another way. */
+    function leavesLostPath(): boolean {
+      if (!isCutOff || !options.mayContinue()) return false;
+      abortWith({kind: 'broken', reason: 'this host was cut off'});
+      return true;
+    }
+
     async function handleFindings(findings: PathFindings): Promise<void> {
       const failedStages = new Set(findings.unresponsive ? [] : findings.dead);
       const waitsFor = stages.find(
--- a/packages/gateway/test/coordination.test.ts
+++ b/packages/gateway/test/coordination.test.ts
@@ -99,7 +99,7 @@
     random: createRandom(1),
     log,
     isLeaseHolder: () => false,
-    reachability: {check: () => Promise.resolve(false)},
+    dialer: {isListening: () => Promise.resolve(true)},
     verify: state => verified.push(state.record.id),
   });
   open.push(coordination);
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -19,7 +19,7 @@
 } from '@chivewick/platform';
 import {
   createDialer,
-  createReachability,
+  createDirectPaths,
   type TunnelHost,
 } from '@chivewick/tunnels';
 import {createSocket} from 'node:dgram';
@@ -349,8 +349,6 @@
 export async function startHarness(options: {
   /** Hosts that open tunnels. */
   tunnelHosts?: readonly TunnelHost[];
-  /** Stands in for the check whether this host reaches endpoints. */
-  accepts?: (address: string) => Promise<boolean>;
   config?: RoutingConfig;
   records?: readonly EndpointRecord[];
   bounds?: Partial<HostBounds>;
@@ -367,21 +365,14 @@
   for (const item of options.records ?? []) {
     store.put(`endpoints/${item.id}`, item);
   }
-  const started: {gateway?: Gateway} = {};
   const random = createRandom();
-  const reachability = createReachability({
-    endpoints: () =>
-      started.gateway?.table.all().map(state => state.record.address) ?? [],
-    random,
-    onChange: () => {},
-    accepts: options.accepts,
-  });
+  const paths = createDirectPaths({onChange: () => {}});
   const gateway = await startGateway({
-    reachability,
+    paths,
     dialer: createDialer({
       failureDomain: id<FailureDomain>('a'),
       hosts: () => options.tunnelHosts ?? [],
-      reachability,
+      paths,
       random,
     }),
     self: {
@@ -414,7 +405,6 @@
     },
     fence: () => undefined,
   });
-  started.gateway = gateway;
   gateways.push(gateway);
   await until(() => gateway.config() !== undefined);
   await until(
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -1,7 +1,7 @@
 // Guards against forwarding a truncated response as complete, and against treating
 // bytes after a response as the response to the next request.
 import {createRandom, id, type FailureDomain} from '@chivewick/common';
-import {createDialer} from '@chivewick/tunnels';
+import {createDialer, createDirectPaths} from '@chivewick/tunnels';
 import assert from 'node:assert/strict';
 import {
   createServer,
@@ -18,10 +18,7 @@
   createDialer({
     failureDomain: id<FailureDomain>('a'),
     hosts: () => [],
-    reachability: {
-      isCutOff: () => false,
-      check: () => Promise.resolve(false),
-    },
+    paths: createDirectPaths({onChange: () => {}}),
     random: createRandom(),
   }),
 );
--- a/packages/tunnels/src/dialer.ts
+++ b/packages/tunnels/src/dialer.ts
@@ -1,19 +1,21 @@
 import type {FailureDomain, HostId, Random} from '@chivewick/common';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
+import type {DirectPaths} from './direct-paths.js';
 import {formatRequest, REPLIES} from './protocol.js';
 import {readLine} from './read-line.js';
-import type {Reachability} from './reachability.js';
 import {createResetSafeStream} from './reset-safe-stream.js';
 import {openSocket} from './sockets.js';
 
 /** Opening a connection within the same region takes a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 300;
-/** The other host connects to the endpoint meanwhile. */
-const REPLY_TIMEOUT_MS = 350;
+/** Time without an answer after which another host tries at the same time. */
+const HEAD_START_MS = 100;
+/** Another host takes its own connect timeout at most. */
+const REPLY_TIMEOUT_MS = 200;
 /** Hosts that are tried for one connection; callers wait for it. */
-const MAX_HOSTS_TRIED = 3;
-/** Time for which a host is left out that did not open a tunnel. */
+const MAX_HOSTS_TRIED = 2;
+/** Time for which a host is left out that does not respond. */
 const AVOIDED_MS = 2_000;
 
 /** A host that opens tunnels for others. */
@@ -28,35 +30,68 @@
 export interface Dialer {
   /** Returns a stream that emits `connect` once it is open, `error` if it fails. */
   dial(address: string): Duplex;
+  /** Whether an endpoint accepts connections of this host or of another one. */
+  isListening(address: string): Promise<boolean>;
+  /**
+   * Registers a listener for endpoints that this host can no longer reach by itself,
+   * while another can; returns its unsubscribe function.
+   */
+  onLost(fn: (address: string) => void): () => void;
 }
 
 /**
- * Creates the dialer. A host that reaches no endpoint by itself connects through another
- * host, without any request being sent twice: the other way is only taken where no
- * connection was opened.
+ * Creates the dialer. Where this host gets no connection to an endpoint, it tries through
+ * another host. A request cannot be sent twice by it: it is written to the one
+ * connection that is opened first.
  *
  * @example
- * const stream = createDialer({self, hosts, reachability, random}).dial('10.1.64.9:8080');
+ * const stream = createDialer({failureDomain, hosts, paths, random}).dial('10.1.64.9:8080');
  */
 export function createDialer(options: {
   readonly failureDomain: FailureDomain;
   /** All other hosts that open tunnels. */
   readonly hosts: () => readonly TunnelHost[];
-  readonly reachability: Pick<Reachability, 'isCutOff' | 'check'>;
+  readonly paths: DirectPaths;
   readonly random: Random;
+  readonly openDirect?: typeof openSocket;
 }): Dialer {
-  const {reachability, random, failureDomain} = options;
+  const {paths, random, failureDomain, openDirect = openSocket} = options;
   const avoidedUntilMs = new Map<HostId, number>();
 
   async function open(address: string): Promise<Socket> {
-    if (!reachability.isCutOff()) {
-      try {
-        return await openSocket(address, CONNECT_TIMEOUT_MS);
-      } catch (err) {
-        if (!(await reachability.check())) throw err;
-      }
+    const openDirectly = () => openDirect(address, CONNECT_TIMEOUT_MS);
+    if (options.hosts().length === 0) return openDirectly();
+    if (paths.isLost(address)) return openTunnel(address).catch(openDirectly);
+    const direct = openDirectly();
+    const headStartMs = paths.expectsLoss() ? 0 : HEAD_START_MS;
+    const early = await settleWithin(direct, headStartMs);
+    if (early !== undefined) {
+      paths.reach(address);
+      return early;
+    }
+    return firstOpened(address, direct, openTunnel(address));
+  }
+
+  /** The connection that is opened first; the other one is closed. */
+  async function firstOpened(
+    address: string,
+    direct: Promise<Socket>,
+    tunnel: Promise<Socket>,
+  ): Promise<Socket> {
+    let isDecided = false;
+    const take = (isLost: boolean) => (socket: Socket) => {
+      if (isDecided) return void socket.destroy();
+      isDecided = true;
+      if (isLost) paths.lose(address);
+      else paths.reach(address);
+      return socket;
+    };
+    const opened = [direct.then(take(false)), tunnel.then(take(true))];
+    try {
+      return (await Promise.any(opened)) as Socket;
+    } catch {
+      return direct;
     }
-    return openTunnel(address);
   }
 
   async function openTunnel(address: string): Promise<Socket> {
@@ -65,7 +100,8 @@
       if (reply === REPLIES.opened && socket !== undefined) return socket;
       socket?.destroy();
       if (reply === REPLIES.refused) break;
-      avoidedUntilMs.set(host.id, performance.now() + AVOIDED_MS);
+      if (reply === undefined)
+        avoidedUntilMs.set(host.id, performance.now() + AVOIDED_MS);
     }
     throw new Error('no connection through another host');
   }
@@ -76,7 +112,7 @@
   ): Promise<{socket?: Socket; reply?: string}> {
     let socket: Socket | undefined;
     try {
-      socket = await openSocket(tunnelAddress, CONNECT_TIMEOUT_MS);
+      socket = await openSocket(tunnelAddress, REPLY_TIMEOUT_MS);
       socket.write(formatRequest(address));
       return {socket, reply: await readLine(socket, REPLY_TIMEOUT_MS)};
     } catch {
@@ -100,5 +136,33 @@
       .map(({host}) => host);
   }
 
-  return {dial: address => createResetSafeStream(open(address))};
+  return {
+    dial: address => createResetSafeStream(open(address)),
+    async isListening(address) {
+      try {
+        const socket = await open(address);
+        socket.destroy();
+        return true;
+      } catch {
+        // The result is that no host gets a connection.
+        return false;
+      }
+    },
+    onLost: fn => paths.onLost(fn),
+  };
+}
+
+/** The result of a promise that resolves in time; undefined if it rejects or is late. */
+function settleWithin<T>(
+  promise: Promise<T>,
+  timeoutMs: number,
+): Promise<T | undefined> {
+  return new Promise(resolve => {
+    const timer = setTimeout(() => resolve(undefined), timeoutMs);
+    const settle = (value: T | undefined) => {
+      clearTimeout(timer);
+      resolve(value);
+    };
+    promise.then(settle, () => settle(undefined));
+  });
 }
--- a/packages/tunnels/src/protocol.ts
+++ b/packages/tunnels/src/protocol.ts
@@ -8,7 +8,7 @@
   opened: 'opened',
   /** The endpoint does not accept a connection, or is not known. */
   refused: 'refused',
-  /** The other host is cut off itself. */
+  /** The other host does not reach the endpoint either. */
   cutOff: 'cut off',
 } as const;
 
--- a/packages/tunnels/src/sockets.ts
+++ b/packages/tunnels/src/sockets.ts
@@ -42,7 +42,7 @@
  * Whether a process accepts connections at an address, `ip:port`.
  *
  * @example
- * if (!(await isListening('10.1.64.9:8080'))) recordCrash();
+ * if (await isListening('10.1.64.9:8080')) connectDirectly();
  */
 export async function isListening(address: string): Promise<boolean> {
   try {
--- a/packages/tunnels/src/tunnel-server.ts
+++ b/packages/tunnels/src/tunnel-server.ts
@@ -1,14 +1,14 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {formatReply, parseRequest, type REPLIES} from './protocol.js';
 import {readLine} from './read-line.js';
-import type {Reachability} from './reachability.js';
+import type {DirectPaths} from './direct-paths.js';
 import {createResetSafeStream} from './reset-safe-stream.js';
 import {openSocket} from './sockets.js';
 
 /** A host sends the line as soon as it is connected. */
 const REQUEST_TIMEOUT_MS = 1_000;
 /** Opening a connection within the same region takes a few milliseconds. */
-const CONNECT_TIMEOUT_MS = 300;
+const CONNECT_TIMEOUT_MS = 150;
 /** Far more than the streams of one failure domain; bounds the descriptors. */
 const MAX_TUNNELS = 800;
 
@@ -24,14 +24,14 @@
  *
  * @param options.address `ip:port` to listen on.
  * @example
- * const server = await startTunnelServer({address, isEndpoint, reachability});
+ * const server = await startTunnelServer({address, isEndpoint, paths});
  */
 export async function startTunnelServer(options: {
   readonly address: string;
   readonly isEndpoint: (address: string) => boolean;
-  readonly reachability: Pick<Reachability, 'isCutOff'>;
+  readonly paths: Pick<DirectPaths, 'isLost'>;
 }): Promise<TunnelServer> {
-  const {isEndpoint, reachability} = options;
+  const {isEndpoint, paths} = options;
   const clients = new Set<Socket>();
   const server = createServer({noDelay: true}, client => {
     clients.add(client);
@@ -46,11 +46,12 @@
       const target = parseRequest(await readLine(client, REQUEST_TIMEOUT_MS));
       if (target === undefined || !isEndpoint(target))
         return reject(client, 'refused');
-      if (reachability.isCutOff()) return reject(client, 'cutOff');
+      if (paths.isLost(target)) return reject(client, 'cutOff');
       join(client, await openSocket(target, CONNECT_TIMEOUT_MS));
-    } catch {
+    } catch (err) {
+      const isRefused = (err as NodeJS.ErrnoException).code === 'ECONNREFUSED';
       // The reply tells the other host, which logs what becomes of its request.
-      reject(client, 'refused');
+      reject(client, isRefused ? 'refused' : 'cutOff');
     }
   }
 
--- a/packages/tunnels/test/tunnels.test.ts
+++ b/packages/tunnels/test/tunnels.test.ts
@@ -17,9 +17,8 @@
 import {after, test} from 'node:test';
 import {
   createDialer,
-  createReachability,
+  createDirectPaths,
   startTunnelServer,
-  type Reachability,
   type TunnelHost,
 } from '../src/index.js';
 
@@ -62,24 +61,34 @@
   const server = await startTunnelServer({
     address: tunnelAddress,
     isEndpoint: address => endpoints.includes(address),
-    reachability: {isCutOff: () => isCutOff},
+    paths: {isLost: () => isCutOff},
   });
   closers.push(() => server.close());
   return {id: id<HostId>(name), tunnelAddress, failureDomain: DOMAIN};
 }
 
-const CUT_OFF: Pick<Reachability, 'isCutOff' | 'check'> = {
-  isCutOff: () => true,
-  check: () => Promise.resolve(true),
-};
+const refuse = () => Promise.reject(new Error('refused'));
+/** As of a host that is cut off: no answer until the timeout. */
+const hang = (_: string, timeoutMs: number) =>
+  new Promise<never>((_done, reject) =>
+    setTimeout(() => reject(new Error('connect timeout')), timeoutMs),
+  );
 
-function dial(hosts: readonly TunnelHost[], address: string) {
-  const stream = createDialer({
+function dial(
+  hosts: readonly TunnelHost[],
+  address: string,
+  openDirect: (address: string, timeoutMs: number) => Promise<Socket> = refuse,
+) {
+  const paths = createDirectPaths({onChange: () => {}});
+  const dialer = createDialer({
     failureDomain: DOMAIN,
     hosts: () => hosts,
-    reachability: CUT_OFF,
+    paths,
     random: createRandom(1),
-  }).dial(address);
+    openDirect,
+  });
+  const stream = dialer.dial(address);
+  closers.push(() => paths.close());
   closers.push(() => stream.destroy());
   return stream;
 }
@@ -100,11 +109,12 @@
 test('tunnels: a host that is cut off reaches endpoints through another host', async () => {
   const endpoint = await startEndpoint(socket => socket.end('response'));
   const host = await startHost('b', [endpoint.address]);
-  assert.deepEqual(await exchange(dial([host], endpoint.address)), {
-    body: 'response',
-    ending: 'end',
-  });
-  assert.deepEqual(endpoint.requests, ['request']);
+  for (const openDirect of [refuse, hang])
+    assert.deepEqual(
+      await exchange(dial([host], endpoint.address, openDirect)),
+      {body: 'response', ending: 'end'},
+    );
+  assert.deepEqual(endpoint.requests, ['request', 'request']);
 });
 
 test('tunnels: a host that is cut off itself is passed over, and so is one that is gone', async () => {
@@ -165,38 +175,23 @@
     assert.deepEqual({ending, body}, {ending: 'error', body: ''});
   });
 
-function reachabilityOf(accepts: () => boolean, count = 6) {
+test('tunnels: a host that gets no direct connection keeps the other way until it does', async () => {
+  let isUp = false;
   const changes: boolean[] = [];
-  const reachability = createReachability({
-    endpoints: () => Array.from({length: count}, (_, n) => `10.0.0.${n}:80`),
-    random: createRandom(1),
-    onChange: isCutOff => changes.push(isCutOff),
-    accepts: () => Promise.resolve(accepts()),
+  const paths = createDirectPaths({
+    onChange: (_, isLost) => changes.push(isLost),
+    accepts: () => Promise.resolve(isUp),
   });
-  closers.push(() => reachability.close());
-  return {reachability, changes};
-}
-
-test('reachability: a host is cut off until an endpoint accepts again', async () => {
-  let isUp = false;
-  const {reachability, changes} = reachabilityOf(() => isUp);
-  let losses = 0;
-  reachability.onCutOff(() => (losses += 1));
-  assert.equal(reachability.isCutOff(), false);
-  assert.equal(await reachability.check(), true);
+  closers.push(() => paths.close());
+  paths.lose('10.0.0.1:80');
+  assert.equal(paths.isLost('10.0.0.1:80'), true);
+  assert.equal(paths.isLost('10.0.0.2:80'), false);
+  assert.equal(paths.expectsLoss(), false);
+  paths.lose('10.0.0.2:80');
+  assert.equal(paths.expectsLoss(), true);
   isUp = true;
-  while (reachability.isCutOff())
+  while (paths.isLost('10.0.0.1:80') || paths.isLost('10.0.0.2:80'))
     await new Promise(done => setTimeout(done, 20));
-  assert.deepEqual({changes, losses}, {changes: [true, false], losses: 1});
-});
-
-test('reachability: one endpoint of several that accepts is enough', async () => {
-  let calls = 0;
-  const {reachability} = reachabilityOf(() => (calls += 1) % 4 === 0);
-  assert.equal(await reachability.check(), false);
-});
-
-test('reachability: the only endpoint that is down does not cut a host off', async () => {
-  const {reachability} = reachabilityOf(() => false, 1);
-  assert.equal(await reachability.check(), false);
+  assert.equal(paths.expectsLoss(), false);
+  assert.deepEqual(changes, [true, true, false, false]);
 });
