Keep the limits on requests that endpoints state

An endpoint in need states how many requests a second it takes from all hosts together.

Hosts tell each other what endpoints state, as they do with crashes (gossip.ts, split from coordination.ts). The coordinator of each failure domain has an equal part of a limit, as a token bucket (the one of the limits package), and leaves an engine out as the first stage while its part is used up; plain requests ask it, in the order of preference. Hosts without a coordinator have a part of their own.

--- a/packages/gateway/src/choose-path.ts
+++ b/packages/gateway/src/choose-path.ts
@@ -61,6 +61,8 @@
    * known; `refusals` of endpoints only; or `nothing`, to learn if waiting may help.
    */
   readonly limitedBy: 'capacity' | 'refusals' | 'nothing';
+  /** Whether an endpoint takes one more request as the first stage; default all. */
+  readonly mayStart?: (endpoint: EndpointId) => boolean;
 }
 
 /**
@@ -190,7 +192,8 @@
     covered = Math.max(covered, to);
   }
   if (covered < profile.layers) gaps.push(`${covered}-${profile.layers}`);
-  return gaps.join(', ');
+  // Otherwise the engines with the first layers take no more requests now.
+  return gaps.length > 0 ? gaps.join(', ') : '0, by the limits of the engines';
 }
 
 /**
@@ -257,6 +260,10 @@
     to: layers.to,
     perLayerUs: (allLayersMs * US_PER_MS) / profile.layers,
     fixedUs: STAGE_RISK_US,
+    mayBeFirst:
+      layers.from > 0 ||
+      request.limitedBy === 'nothing' ||
+      request.mayStart?.(id) !== false,
     price:
       (MEMORY_PRICE * usedFraction ** MEMORY_PRICE_POWER) / (1 - usedFraction),
   };
--- a/packages/gateway/src/coordination/coordination.ts
+++ b/packages/gateway/src/coordination/coordination.ts
@@ -1,5 +1,17 @@
-import type {HostId, Logger, Random, ServiceName} from '@chivewick/common';
-import {createContacts} from '@chivewick/coordination';
+import type {
+  EndpointId,
+  HostId,
+  Logger,
+  Random,
+  ServiceName,
+} from '@chivewick/common';
+import {
+  createContacts,
+  createRequestLimits,
+  createStartBudget,
+  type RequestLimits,
+  type StartBudget,
+} from '@chivewick/coordination';
 import type {Dialer} from '@chivewick/tunnels';
 import {
   choosePath,
@@ -24,6 +36,7 @@
   createDomainSummary,
   suspectReported,
 } from './domain-summary.js';
+import {createGossip} from './gossip.js';
 import {createHeldPaths, type HeldPaths} from './held-paths.js';
 import {
   METHODS,
@@ -31,16 +44,24 @@
   parseCoordinatorSummary,
   parseDomainSummary,
   parseEvidence,
+  parseLimits,
   parseRelease,
   parseReport,
+  parseStartAnswer,
+  parseStartAsk,
   parseSuspected,
   type CoordinatorSummary,
-  type EvidenceMessage,
   type DomainSummary,
   type HostReport,
   type PathAnswer,
+  type StartAnswer,
 } from './messages.js';
-import {createPathAsker, type PathNeed, type PathWork} from './path-asker.js';
+import {
+  ASK_TIMEOUT_MS,
+  createPathAsker,
+  type PathNeed,
+  type PathWork,
+} from './path-asker.js';
 import {createRanks, type Ranks} from './ranks.js';
 
 /**
@@ -73,6 +94,12 @@
   readonly held: HeldPaths;
   readonly ranks: Pick<Ranks, 'isCandidate' | 'readerRole'>;
   readonly quarantine: Quarantine;
+  readonly limits: RequestLimits;
+  /**
+   * Counts a plain request that starts on the first of some endpoints whose limits allow
+   * it; undefined if none does now.
+   */
+  takeStart(endpoints: readonly EndpointId[]): Promise<EndpointId | undefined>;
   /** Asks the coordinator for a path; without one, this host chooses by itself. */
   choosePath(need: PathNeed): Promise<PathChoice>;
   /** Parameters of a choice that this host makes by itself. */
@@ -118,9 +145,26 @@
   const contacts = createContacts();
   const ranks = createRanks({self, fleet, contacts});
   const held = createHeldPaths();
+  const limits = createRequestLimits(() => gossip.announceLimits());
+  const perSecond = (endpoint: EndpointId) => {
+    const record = table.get(endpoint)?.record;
+    return record && limits.of({endpoint, startedAtMs: record.startedAtMs});
+  };
+  const domainBudget = createStartBudget({
+    self: self.failureDomain,
+    holders: () => fleet.domains(),
+    perSecond,
+  });
+  /** For requests that no coordinator grants. */
+  const hostBudget = createStartBudget({
+    self: self.id,
+    holders: () => [self.id, ...fleet.others().map(host => host.id)],
+    perSecond,
+  });
   const coordinator = createCoordinator({
     ...options,
     self: self.id,
+    budget: domainBudget,
     localDomain,
   });
   const quarantine = createQuarantine({
@@ -128,7 +172,15 @@
     others: () => fleet.others(),
     dialer: options.dialer,
     log,
-    onChange: announceEvidence,
+    onChange: () => gossip.announceEvidence(),
+  });
+  const gossip = createGossip({
+    self: self.id,
+    quarantine: () => quarantine,
+    limits: () => limits,
+    ranks,
+    datagrams: () => datagrams,
+    otherCoordinators,
   });
   /** Hosts whose answer to the last report is outstanding. */
   const unanswered = new Set<HostId>();
@@ -168,6 +220,14 @@
       const message = parseEvidence(params);
       if (message !== undefined) quarantine.merge(message.evidence);
     },
+    [METHODS.limits](params) {
+      const message = parseLimits(params);
+      if (message !== undefined) limits.merge(message.limits);
+    },
+    [METHODS.start](params) {
+      const message = parseStartAsk(params);
+      return message && takeFrom(domainBudget, message.endpoints);
+    },
     [METHODS.down](params) {
       for (const endpoint of parseSuspected(params)?.endpoints ?? [])
         suspectReported(table, endpoint);
@@ -205,26 +265,6 @@
       if (id !== self.id) datagrams.notify(address, METHODS.suspected, message);
   }
 
-  /** Sends what is known of crashes to a host; nothing if there is nothing. */
-  function sendEvidence(targets: Iterable<FleetHost>): void {
-    const evidence = quarantine.report();
-    if (evidence === undefined) return;
-    const message: EvidenceMessage = {from: self.id, evidence};
-    for (const {id, address} of targets)
-      if (id !== self.id) datagrams.notify(address, METHODS.evidence, message);
-  }
-
-  /**
-   * Passes a change on: to the coordinators of the failure domain, and from these to
-   * its other hosts and to the other coordinators. It ends where nothing is new.
-   */
-  function announceEvidence(): void {
-    const targets = ranks.isCandidate()
-      ? new Set([...ranks.local(), ...otherCoordinators()])
-      : ranks.responsive().slice(0, 2);
-    sendEvidence(targets);
-  }
-
   function isResponsible({record}: EndpointState): boolean {
     const hasHosts = fleet.domains().includes(record.failureDomain);
     const isLocal = record.failureDomain === self.failureDomain;
@@ -267,7 +307,7 @@
       unanswered.add(id);
       datagrams.notify(address, METHODS.report, report);
     }
-    sendEvidence(ranks.reportTargets());
+    gossip.repeat(ranks.reportTargets());
   }
 
   function receiveReport(report: HostReport): void {
@@ -285,7 +325,7 @@
       holderSeenMsAgo: holderSeenMsAgo(),
     });
     datagrams.notify(from.address, METHODS.domainSummary, value);
-    sendEvidence([from]);
+    gossip.repeat([from]);
   }
 
   function receiveDomainSummary(value: DomainSummary): void {
@@ -316,7 +356,7 @@
     };
     for (const {address} of otherCoordinators())
       datagrams.notify(address, METHODS.coordinatorSummary, params);
-    sendEvidence(otherCoordinators());
+    gossip.repeat(otherCoordinators());
   }
 
   /**
@@ -373,9 +413,15 @@
   ): Exclude<PathAnswer, {kind: 'not_ready'}> {
     if (need.isRetry) return {kind: 'no_retry'};
     const usable = table.usable(need.service);
-    const request = localRequest(need);
+    const request = {
+      ...localRequest(need),
+      mayStart: (endpoint: EndpointId) => hostBudget.isAvailable(endpoint),
+    };
     const stages = choosePath(usable, need.profile, request);
-    if (stages !== undefined) return {kind: 'path', stages};
+    if (stages !== undefined) {
+      hostBudget.take(stages[0].endpoint);
+      return {kind: 'path', stages};
+    }
     const later = {...request, limitedBy: 'nothing' as const};
     return {
       kind: 'no_capacity',
@@ -404,6 +450,27 @@
     };
   }
 
+  /** Asks the coordinator, then the standby; without them, this host has its own part. */
+  async function takeStart(
+    endpoints: readonly EndpointId[],
+  ): Promise<EndpointId | undefined> {
+    for (const target of ranks.responsive().slice(0, 2)) {
+      if (target.id === self.id)
+        return takeFrom(domainBudget, endpoints).endpoint ?? undefined;
+      const answer = parseStartAnswer(
+        await datagrams.request(
+          target.address,
+          METHODS.start,
+          {endpoints},
+          ASK_TIMEOUT_MS,
+        ),
+      );
+      if (answer !== undefined) return answer.endpoint ?? undefined;
+      contacts.missed(target.id);
+    }
+    return takeFrom(hostBudget, endpoints).endpoint ?? undefined;
+  }
+
   function flushReleased(): void {
     releaseTimer = undefined;
     const released = held.takeReleased();
@@ -423,6 +490,8 @@
     },
     ranks,
     quarantine,
+    limits,
+    takeStart,
     choosePath: choose,
     localRequest,
     mayRetry: service =>
@@ -440,3 +509,12 @@
     },
   };
 }
+
+/** The first of some endpoints on which a budget allows a start, which is counted. */
+function takeFrom(
+  budget: StartBudget,
+  endpoints: readonly EndpointId[],
+): StartAnswer {
+  const endpoint = endpoints.find(candidate => budget.take(candidate));
+  return {endpoint: endpoint ?? null};
+}
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -6,6 +6,7 @@
   type EndpointLoad,
   type GrantTable,
   type RemoteLoads,
+  type StartBudget,
 } from '@chivewick/coordination';
 import type {Stage} from '@chivewick/engines';
 import {
@@ -58,6 +59,8 @@
   readonly self: HostId;
   readonly table: EndpointTable;
   readonly allowance: RetryAllowance;
+  /** This failure domain's part of the limits that endpoints have stated. */
+  readonly budget: StartBudget;
   readonly config: () => RoutingConfig | undefined;
   /** Index of the local failure domain in the table, if it has an endpoint. */
   readonly localDomain: () => number | undefined;
@@ -77,7 +80,7 @@
  * if (answer.kind === 'path') send(answer.stages);
  */
 export function createCoordinator(options: CoordinatorOptions): Coordinator {
-  const {self, table, allowance, random} = options;
+  const {self, table, allowance, budget, random} = options;
   const startMs = performance.now();
   let grantedAtMs = -Infinity;
   let started = 0;
@@ -143,6 +146,7 @@
       };
     }
     if (ask.isRetry) allowance.take(ask.service);
+    budget.take(stages[0].endpoint);
     record(ask, stages, profile);
     return {kind: 'path', stages};
   }
@@ -202,6 +206,7 @@
       pipes,
       nowMs: performance.now(),
       limitedBy: 'capacity',
+      mayStart: endpoint => budget.isAvailable(endpoint),
     };
   }
 
--- a/packages/gateway/src/coordination/messages.ts
+++ b/packages/gateway/src/coordination/messages.ts
@@ -4,6 +4,7 @@
   EndpointLoad,
   Grant,
   HeldGrants,
+  RequestLimit,
 } from '@chivewick/coordination';
 import {
   parseEvidenceReport,
@@ -22,6 +23,8 @@
   suspected: 'endpoint.suspected',
   down: 'endpoint.down',
   evidence: 'crash.evidence',
+  limits: 'request.limits',
+  start: 'request.start',
 } as const;
 
 /** A request for a path; it also ends earlier grants of the host. */
@@ -103,6 +106,22 @@
   readonly evidence: EvidenceReport;
 }
 
+/** What a host knows of the limits that endpoints have stated. */
+export interface LimitsMessage {
+  readonly from: HostId;
+  readonly limits: readonly RequestLimit[];
+}
+
+/** Asks whether a request may start on one of some endpoints, the best first. */
+export interface StartAsk {
+  readonly endpoints: readonly EndpointId[];
+}
+
+/** The endpoint on which the request may start; null if on none now. */
+export interface StartAnswer {
+  readonly endpoint: EndpointId | null;
+}
+
 type Fields = Readonly<Record<string, unknown>>;
 
 // Anyone may send datagrams, so every field is checked before it is used. The
@@ -192,6 +211,24 @@
   return isValid ? (value as EvidenceMessage) : undefined;
 }
 
+export function parseLimits(value: unknown): LimitsMessage | undefined {
+  const message = fieldsOf(value);
+  const isValid =
+    isText(message['from']) && isListOf(message['limits'], isLimit);
+  return isValid ? (value as LimitsMessage) : undefined;
+}
+
+export function parseStartAsk(value: unknown): StartAsk | undefined {
+  const isValid = isListOf(fieldsOf(value)['endpoints'], isText);
+  return isValid ? (value as StartAsk) : undefined;
+}
+
+export function parseStartAnswer(value: unknown): StartAnswer | undefined {
+  const {endpoint} = fieldsOf(value);
+  const isValid = endpoint === null || isText(endpoint);
+  return isValid ? (value as StartAnswer) : undefined;
+}
+
 function fieldsOf(value: unknown): Fields {
   return typeof value === 'object' && value !== null ? (value as Fields) : {};
 }
@@ -215,6 +252,16 @@
   );
 }
 
+function isLimit(value: unknown): boolean {
+  const limit = fieldsOf(value) as Partial<RequestLimit>;
+  return (
+    isText(limit.endpoint) &&
+    isCount(limit.startedAtMs) &&
+    isCount(limit.msAgo) &&
+    (limit.perSecond === undefined || isCount(limit.perSecond))
+  );
+}
+
 function isPipe(value: unknown): boolean {
   const pipe = fieldsOf(value) as Partial<DomainPipe>;
   return isText(pipe.from) && isText(pipe.to) && isCount(pipe.utilization);
--- a/packages/gateway/src/coordination/path-asker.ts
+++ b/packages/gateway/src/coordination/path-asker.ts
@@ -15,7 +15,7 @@
 import type {Ranks} from './ranks.js';
 
 /** A coordinator in the same failure domain answers within a few milliseconds. */
-const ASK_TIMEOUT_MS = 60;
+export const ASK_TIMEOUT_MS = 60;
 /** Coordinators that are asked before this host chooses a path by itself. */
 const MAX_ASKED = 2;
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,5 +1,6 @@
 import type {Failure, Logger, Random, RequestId} from '@chivewick/common';
 import type {Dialer} from '@chivewick/tunnels';
+import type {RequestLimits} from '@chivewick/coordination';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {EndpointTable} from './endpoint-table.js';
 import type {GatewayMetrics} from './metrics.js';
@@ -48,6 +49,8 @@
   readonly random: Random;
   readonly log: Logger;
   readonly coordination: Coordination;
+  /** What endpoints have stated about the requests that they take. */
+  readonly limits: RequestLimits;
   readonly pipes: PipeUsage;
   readonly quarantine: Quarantine;
   readonly dialer: Dialer;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -169,6 +169,7 @@
     random,
     log,
     coordination,
+    limits: coordination.limits,
     pipes,
     quarantine: coordination.quarantine,
     dialer,
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -1,4 +1,4 @@
-import {failure, type EndpointId, type Failure} from '@chivewick/common';
+import {failure, pause, type EndpointId, type Failure} from '@chivewick/common';
 import {startResponse} from './responses.js';
 import {createAttempts} from './attempts.js';
 import {chooseEndpoint} from './choose-endpoint.js';
@@ -26,6 +26,9 @@
  * bytes until the connection is closed.
  */
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+/** Wait for an endpoint whose limit allows no request now; others may be served soon. */
+const MAX_LIMIT_WAIT_MS = 500;
+const LIMIT_POLL_MS = 50;
 /** Twice `FULL_BACKOFF_MS`. */
 const RETRY_AFTER_MS = 300;
 
@@ -53,7 +56,7 @@
   exchange: Exchange,
   ctx: ExchangeContext,
 ): Promise<ExchangeResult> {
-  const {rule, service, requestId} = exchange;
+  const {rule, service, requestId, res} = exchange;
   const tried = new Set<EndpointId>();
   const attempts = createAttempts(RETRY_AFTER_MS);
   let errorResponse: EndpointResponse | undefined;
@@ -64,10 +67,17 @@
     if (ctx.quarantine.banOf(exchange) !== undefined)
       return failed(quarantined(attempts.runs));
     const usable = ctx.table.usable(service.name);
-    const draw = ctx.random.next();
     const state =
-      chooseEndpoint(usable, tried, performance.now(), draw) ??
-      (attempts.runs === 0 ? chooseSuspected(exchange, ctx, tried) : undefined);
+      (await chooseWithinLimits(exchange, ctx, usable, tried)) ??
+      (attempts.runs === 0
+        ? await chooseWithinLimits(
+            exchange,
+            ctx,
+            suspected(exchange, ctx),
+            tried,
+          )
+        : undefined);
+    if (res.destroyed) return {kind: 'caller_left', sends: attempts.sends};
     const maySend = attempts.sends === 0 || ctx.allowance.take(service.name);
     if (state === undefined || !maySend) {
       return failed(attempts.failure ?? noEndpoint(usable.length, tried.size));
@@ -165,16 +175,63 @@
 }
 
 /** If no unsuspected endpoint is left, a suspected one is better than none. */
-function chooseSuspected(
+function suspected(
   {service}: Exchange,
-  ctx: ExchangeContext,
-  tried: ReadonlySet<EndpointId>,
-): EndpointState | undefined {
+  {table}: ExchangeContext,
+): EndpointState[] {
   const nowMs = performance.now();
-  const accepting = ctx.table
+  return table
     .ofService(service.name)
-    .filter(state => acceptsRequests(state, nowMs));
-  return chooseEndpoint(accepting, tried, nowMs, ctx.random.next());
+    .filter(
+      state => acceptsRequests(state, nowMs) && state.suspectedUntilMs > nowMs,
+    );
+}
+
+/**
+ * Chooses an endpoint, and counts the request where the endpoint limits them. If those
+ * that are preferred take no request now, the best one without a limit gets it; if there
+ * is none, the request waits for a while.
+ */
+async function chooseWithinLimits(
+  {arrivedMs, deadlineAtMs, res}: Exchange,
+  ctx: ExchangeContext,
+  endpoints: readonly EndpointState[],
+  tried: ReadonlySet<EndpointId>,
+): Promise<EndpointState | undefined> {
+  const untilMs = Math.min(arrivedMs + MAX_LIMIT_WAIT_MS, deadlineAtMs);
+  for (;;) {
+    const {limited, unlimited} = preferred(ctx, endpoints, tried);
+    if (limited.length === 0) return unlimited;
+    const granted = await ctx.coordination.takeStart(
+      limited.map(state => state.record.id),
+    );
+    const found = limited.find(state => state.record.id === granted);
+    if (found !== undefined || unlimited !== undefined)
+      return found ?? unlimited;
+    if (performance.now() + LIMIT_POLL_MS > untilMs || res.destroyed)
+      return undefined;
+    await pause(LIMIT_POLL_MS);
+  }
+}
+
+/** Endpoints with a limit in the order of preference, up to the first one without. */
+function preferred(
+  {limits, random}: ExchangeContext,
+  endpoints: readonly EndpointState[],
+  tried: ReadonlySet<EndpointId>,
+): {limited: EndpointState[]; unlimited?: EndpointState} {
+  const limited: EndpointState[] = [];
+  const passedOver = new Set(tried);
+  for (;;) {
+    const nowMs = performance.now();
+    const state = chooseEndpoint(endpoints, passedOver, nowMs, random.next());
+    if (state === undefined) return {limited};
+    const {id: endpoint, startedAtMs} = state.record;
+    if (limits.of({endpoint, startedAtMs}) === undefined)
+      return {limited, unlimited: state};
+    limited.push(state);
+    passedOver.add(endpoint);
+  }
 }
 
 function sendOnce(
@@ -236,7 +293,7 @@
           status = responseStatus;
           headers = responseHeaders;
           const responseFacts = ctx.dialect.readResponse(status, headers);
-          observeNotices(ctx.table, state, responseFacts);
+          observeNotices(ctx, state, responseFacts);
         },
         data(chunk) {
           receivedBytes += chunk.length;
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -200,7 +200,7 @@
       status = responseStatus;
       headers = responseHeaders;
       const responseFacts = ctx.dialect.readResponse(status, headers);
-      if (first !== undefined) observeNotices(ctx.table, first, responseFacts);
+      if (first !== undefined) observeNotices(ctx, first, responseFacts);
       if (
         responseFacts.requestId !== undefined &&
         responseFacts.requestId !== requestId
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -197,6 +197,8 @@
   readonly leaving: boolean;
   /** Time for which the endpoint wants no request from this host. */
   readonly retryAfterMs?: number;
+  /** Requests per second that the endpoint takes from all hosts together. */
+  readonly requestLimit?: number;
 }
 
 type HeaderValue = string | string[] | undefined;
--- a/packages/gateway/test/coordinator.test.ts
+++ b/packages/gateway/test/coordinator.test.ts
@@ -56,6 +56,7 @@
       windowMs: 10_000,
       shares: () => 5,
     }),
+    budget: {isAvailable: () => true, take: () => true},
     config: () => config(),
     localDomain: () => 0,
     random: createRandom(1),
--- a/packages/gateway/test/endpoint-notices.test.ts
+++ b/packages/gateway/test/endpoint-notices.test.ts
@@ -104,3 +104,34 @@
     for (const {heads} of endpoints) assert.ok(heads.length <= 1);
   });
 }
+
+const LIMIT = 4;
+const limits = respond(EVENT, '200 OK', `${SIGNED}limit: ${LIMIT}\r\n`);
+
+for (const kind of ['plain', 'stream'] as const) {
+  test(`notices: an endpoint that limits ${kind} requests gets no more, others get the rest`, async () => {
+    const endpoints = await Promise.all([
+      startEndpoint(limits),
+      startEndpoint(works),
+    ]);
+    const send = await start(kind, endpoints);
+    const startMs = performance.now();
+    const statuses = await Promise.all([send(15), send(15)]);
+    const elapsedS = (performance.now() - startMs) / 1_000;
+    assert.deepEqual(new Set(statuses.flat()), new Set([200]));
+    const received = endpoints[0].heads.length;
+    assert.ok(received <= LIMIT * (elapsedS + 1) + 3, `${received} requests`);
+  });
+
+  test(`notices: ${kind} requests wait or are refused if all endpoints limit them`, async () => {
+    const endpoint = await startEndpoint(limits);
+    const send = await start(kind, [endpoint]);
+    const startMs = performance.now();
+    const statuses = (
+      await Promise.all(Array.from({length: 20}, () => send(1)))
+    ).flat();
+    const elapsedS = (performance.now() - startMs) / 1_000;
+    assert.ok(endpoint.heads.length <= LIMIT * (elapsedS + 1) + 2);
+    assert.ok(statuses.includes(200) && statuses.includes(503));
+  });
+}
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -113,6 +113,7 @@
     suspectAddress: undefined,
     encoded: false,
     leaving: headers['leaving'] !== undefined,
+    requestLimit: headers['limit'] ? Number(headers['limit']) : undefined,
     retryAfterMs: headers['retry-after']
       ? Number(headers['retry-after']) * 1_000
       : undefined,
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -47,3 +47,4 @@
   Permit,
   WorkspaceStatus,
 } from './limits-api.js';
+export {createTokenBucket, type TokenBucket} from './token-bucket.js';
--- a/packages/routes/src/search.ts
+++ b/packages/routes/src/search.ts
@@ -20,6 +20,8 @@
   readonly fixedUs: number;
   /** Price of holding KV cache during the response, per unit of its duration. */
   readonly price: number;
+  /** Whether it may be the first stage, which receives the request; default true. */
+  readonly mayBeFirst?: boolean;
 }
 
 /** A partial chain from layer 0, linked backwards. */
@@ -68,6 +70,7 @@
     if (labels?.length === 0) continue;
     for (const candidate of candidates) {
       if (candidate.from > boundary || candidate.to <= boundary) continue;
+      if (index === 0 && candidate.mayBeFirst === false) continue;
       const workUs = (candidate.to - boundary) * candidate.perLayerUs;
       const start = cheapestStart(candidate, workUs, labels, options);
       if (start !== undefined)
