Let a host that is cut off ask several others, and suspect nothing without a verdict

The coordinator of a failure domain that was cut off suspected engines that its probes did not reach in 70 ms, less than the head start of a direct connection, so that hosts which reached them refused requests for the first layers.

--- a/packages/gateway/src/coordination/coordination.ts
+++ b/packages/gateway/src/coordination/coordination.ts
@@ -124,7 +124,7 @@
   readonly random: Random;
   readonly log: Logger;
   readonly isLeaseHolder: () => boolean;
-  readonly dialer: Pick<Dialer, 'isListening'>;
+  readonly dialer: Pick<Dialer, 'isDown'>;
   /** Checks an endpoint that did not respond to another host. */
   readonly verify: (state: EndpointState) => void;
 }
--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -50,7 +50,7 @@
   readonly self: HostId;
   /** All other hosts that share the endpoints. */
   readonly others: () => readonly {readonly id: HostId}[];
-  readonly dialer: Pick<Dialer, 'isListening'>;
+  readonly dialer: Pick<Dialer, 'isDown'>;
   readonly log: Logger;
   /** Called after a change that other hosts should know at once. */
   readonly onChange: () => void;
@@ -83,7 +83,7 @@
     async disconnected(exchange, state, hasBegun) {
       const {id: endpoint, address, startedAtMs} = state.record;
       // Another host is asked too: to one that is cut off, all endpoints look crashed.
-      if (await options.dialer.isListening(address)) return;
+      if (!(await options.dialer.isDown(address))) return;
       const request = digestOf(exchange);
       const parts = partsOf(exchange);
       const suspect = {request, hasBegun, parts};
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -1,4 +1,5 @@
 import {failure, pause, type EndpointId, type Failure} from '@chivewick/common';
+import {UnreachableError} from '@chivewick/tunnels';
 import {startResponse} from './responses.js';
 import {createAttempts} from './attempts.js';
 import {chooseEndpoint} from './choose-endpoint.js';
@@ -41,7 +42,8 @@
 
 type Outcome =
   | EndpointResponse
-  | {kind: 'not_run'; reason: string; full: boolean}
+  /** `isUnreachable` is set if it is not known whether the endpoint is up. */
+  | {kind: 'not_run'; reason: string; full: boolean; isUnreachable?: boolean}
   /** `isDisconnected` is set if the endpoint ended the connection. */
   | {kind: 'unknown'; reason: string; isDisconnected?: boolean}
   | {kind: 'deadline'; sent: boolean}
@@ -308,7 +310,12 @@
           finish(
             sent
               ? {kind: 'unknown', reason: err.message, isDisconnected: true}
-              : {kind: 'not_run', reason: err.message, full: false},
+              : {
+                  kind: 'not_run',
+                  reason: err.message,
+                  full: false,
+                  isUnreachable: err instanceof UnreachableError,
+                },
           ),
       },
     );
@@ -353,6 +360,7 @@
     state.fullUntilMs = performance.now() + FULL_BACKOFF_MS;
     return;
   }
+  if (outcome.kind === 'not_run' && outcome.isUnreachable === true) return;
   if (outcome.kind === 'deadline') observeLatency(state, latencyMs);
   state.consecutiveFailures += 1;
   if (
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -1,5 +1,6 @@
 import type {EndpointId} from '@chivewick/common';
 import type {Stage} from '@chivewick/engines';
+import {UnreachableError} from '@chivewick/tunnels';
 import type {PathRequest} from './choose-path.js';
 import {observeNotices} from './endpoint-notices.js';
 import type {EndpointState} from './endpoint-table.js';
@@ -178,7 +179,8 @@
         data,
         ended: onResponseComplete,
         failed: err => {
-          if (!sent && first !== undefined) {
+          const isDown = !(err instanceof UnreachableError);
+          if (!sent && isDown && first !== undefined) {
             ctx.table.suspect(first, err.message);
           }
           finish(
--- a/packages/gateway/test/coordination.test.ts
+++ b/packages/gateway/test/coordination.test.ts
@@ -99,7 +99,7 @@
     random: createRandom(1),
     log,
     isLeaseHolder: () => false,
-    dialer: {isListening: () => Promise.resolve(true)},
+    dialer: {isDown: () => Promise.resolve(false)},
     verify: state => verified.push(state.record.id),
   });
   open.push(coordination);
--- a/packages/tunnels/src/dialer.ts
+++ b/packages/tunnels/src/dialer.ts
@@ -10,12 +10,12 @@
 /** Opening a connection within the same region takes a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 300;
 /** Time without an answer after which another host tries at the same time. */
-const HEAD_START_MS = 100;
+const HEAD_START_MS = 30;
 /** Another host takes its own connect timeout at most. */
 const REPLY_TIMEOUT_MS = 200;
 /** Hosts that are tried for one connection; callers wait for it. */
-const MAX_HOSTS_TRIED = 2;
-/** Time for which a host is left out that does not respond. */
+const MAX_HOSTS_TRIED = 4;
+/** Time for which a host comes last that does not respond or is cut off too. */
 const AVOIDED_MS = 2_000;
 
 /** A host that opens tunnels for others. */
@@ -26,12 +26,18 @@
   readonly failureDomain: FailureDomain;
 }
 
+/**
+ * No host that was asked knows whether the endpoint is up: they do not respond, or are
+ * cut off as well.
+ */
+export class UnreachableError extends Error {}
+
 /** Opens connections to endpoints. */
 export interface Dialer {
   /** Returns a stream that emits `connect` once it is open, `error` if it fails. */
   dial(address: string): Duplex;
-  /** Whether an endpoint accepts connections of this host or of another one. */
-  isListening(address: string): Promise<boolean>;
+  /** Whether an endpoint is known to accept no connection of any host. */
+  isDown(address: string): Promise<boolean>;
   /**
    * Registers a listener for endpoints that this host can no longer reach by itself,
    * while another can; returns its unsubscribe function.
@@ -61,7 +67,7 @@
   async function open(address: string): Promise<Socket> {
     const openDirectly = () => openDirect(address, CONNECT_TIMEOUT_MS);
     if (options.hosts().length === 0) return openDirectly();
-    if (paths.isLost(address)) return openTunnel(address).catch(openDirectly);
+    if (paths.isLost(address)) return openTunnel(address);
     const direct = openDirectly();
     const headStartMs = paths.expectsLoss() ? 0 : HEAD_START_MS;
     const early = await settleWithin(direct, headStartMs);
@@ -90,7 +96,8 @@
     try {
       return (await Promise.any(opened)) as Socket;
     } catch {
-      return direct;
+      // What the other hosts know says more than this host's own failure.
+      return tunnel;
     }
   }
 
@@ -99,11 +106,10 @@
       const {socket, reply} = await ask(host, address);
       if (reply === REPLIES.opened && socket !== undefined) return socket;
       socket?.destroy();
-      if (reply === REPLIES.refused) break;
-      if (reply === undefined)
-        avoidedUntilMs.set(host.id, performance.now() + AVOIDED_MS);
+      if (reply === REPLIES.refused) throw new Error('connection refused');
+      avoidedUntilMs.set(host.id, performance.now() + AVOIDED_MS);
     }
-    throw new Error('no connection through another host');
+    throw new UnreachableError('no other host has a connection');
   }
 
   async function ask(
@@ -126,10 +132,11 @@
     const nowMs = performance.now();
     return options
       .hosts()
-      .filter(({id}) => (avoidedUntilMs.get(id) ?? 0) <= nowMs)
       .map(host => {
         const isLocal = host.failureDomain === failureDomain;
-        return {host, rank: Number(isLocal) + random.next()};
+        const isAvoided = (avoidedUntilMs.get(host.id) ?? 0) > nowMs;
+        const rank = 2 * Number(isAvoided) + Number(isLocal) + random.next();
+        return {host, rank};
       })
       .sort((a, b) => a.rank - b.rank)
       .slice(0, MAX_HOSTS_TRIED)
@@ -138,14 +145,13 @@
 
   return {
     dial: address => createResetSafeStream(open(address)),
-    async isListening(address) {
+    async isDown(address) {
       try {
         const socket = await open(address);
         socket.destroy();
-        return true;
-      } catch {
-        // The result is that no host gets a connection.
         return false;
+      } catch (err) {
+        return !(err instanceof UnreachableError);
       }
     },
     onLost: fn => paths.onLost(fn),
--- a/packages/tunnels/src/tunnel-server.ts
+++ b/packages/tunnels/src/tunnel-server.ts
@@ -29,7 +29,7 @@
 export async function startTunnelServer(options: {
   readonly address: string;
   readonly isEndpoint: (address: string) => boolean;
-  readonly paths: Pick<DirectPaths, 'isLost'>;
+  readonly paths: Pick<DirectPaths, 'isLost' | 'expectsLoss'>;
 }): Promise<TunnelServer> {
   const {isEndpoint, paths} = options;
   const clients = new Set<Socket>();
@@ -48,10 +48,9 @@
         return reject(client, 'refused');
       if (paths.isLost(target)) return reject(client, 'cutOff');
       join(client, await openSocket(target, CONNECT_TIMEOUT_MS));
-    } catch (err) {
-      const isRefused = (err as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+    } catch {
       // The reply tells the other host, which logs what becomes of its request.
-      reject(client, isRefused ? 'refused' : 'cutOff');
+      reject(client, paths.expectsLoss() ? 'cutOff' : 'refused');
     }
   }
 
--- a/packages/tunnels/test/tunnels.test.ts
+++ b/packages/tunnels/test/tunnels.test.ts
@@ -61,7 +61,7 @@
   const server = await startTunnelServer({
     address: tunnelAddress,
     isEndpoint: address => endpoints.includes(address),
-    paths: {isLost: () => isCutOff},
+    paths: {isLost: () => isCutOff, expectsLoss: () => isCutOff},
   });
   closers.push(() => server.close());
   return {id: id<HostId>(name), tunnelAddress, failureDomain: DOMAIN};
