Keep bans in the store, so that they outlive all hosts

They are now kept in one object, written by the coordinators when the set changes and read at the start.

--- a/packages/gateway/src/coordination/coordination.ts
+++ b/packages/gateway/src/coordination/coordination.ts
@@ -92,7 +92,7 @@
 /** This host's part in choosing paths together with the other hosts. */
 export interface Coordination {
   readonly held: HeldPaths;
-  readonly ranks: Pick<Ranks, 'isCandidate' | 'readerRole'>;
+  readonly ranks: Pick<Ranks, 'isCandidate' | 'isCoordinator' | 'readerRole'>;
   readonly quarantine: Quarantine;
   readonly limits: RequestLimits;
   /**
@@ -124,6 +124,8 @@
   readonly random: Random;
   readonly log: Logger;
   readonly isLeaseHolder: () => boolean;
+  /** Called after a change of what is known of crashes. */
+  readonly onEvidence?: () => void;
   readonly dialer: Pick<Dialer, 'isDown'>;
   /** Checks an endpoint that did not respond to another host. */
   readonly verify: (state: EndpointState) => void;
@@ -172,7 +174,10 @@
     others: () => fleet.others(),
     dialer: options.dialer,
     log,
-    onChange: () => gossip.announceEvidence(),
+    onChange() {
+      gossip.announceEvidence();
+      options.onEvidence?.();
+    },
   });
   const gossip = createGossip({
     self: self.id,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import {
   nameOfKey,
   type ObjectFeed,
+  type ObjectStore,
   type StoredObject,
 } from '@chivewick/platform';
 import {
@@ -21,6 +22,7 @@
 import {createRequestHandler} from './handle-request.js';
 import {createGatewayMetrics} from './metrics.js';
 import {createPathProbe} from './path-probe.js';
+import {keepBans} from './quarantine/index.js';
 import {recheckSuspects} from './recheck-suspects.js';
 import {createPipeUsage, HOST_AVERAGING_TIME_MS} from './pipe-usage.js';
 import {startRelay} from './relay.js';
@@ -82,6 +84,11 @@
   /** Parses a stored object; logs an invalid one and returns undefined for it. */
   readonly readConfig: (object: StoredObject) => RoutingConfig | undefined;
   readonly readEndpoint: (object: StoredObject) => EndpointRecord | undefined;
+  /** Where bans are kept; undefined if they end with the hosts. */
+  readonly savedBans?: {
+    readonly store: Pick<ObjectStore, 'get' | 'put'>;
+    readonly key: string;
+  };
   /** Hosts that share the endpoints. */
   readonly fleet: Fleet;
   /** Newest fencing number that this host knows. */
@@ -147,8 +154,17 @@
     log,
     isLeaseHolder: () => options.fence() !== undefined,
     dialer,
+    onEvidence: () => savedBans?.changed(),
     verify: state => suspects.verify(state),
   });
+  const savedBans =
+    options.savedBans &&
+    keepBans({
+      ...options.savedBans,
+      quarantine: coordination.quarantine,
+      isWriter: () => coordination.ranks.isCoordinator(),
+      signal: closing.signal,
+    });
   const suspects = recheckSuspects({
     table,
     control: options.control,
--- a/packages/gateway/src/quarantine/index.ts
+++ b/packages/gateway/src/quarantine/index.ts
@@ -1,1 +1,2 @@
 export * from './quarantine.js';
+export * from './saved-bans.js';
--- a/packages/platform/src/update-object.ts
+++ b/packages/platform/src/update-object.ts
@@ -26,7 +26,7 @@
  * await updateObject<Lease>(api, 'orders/lease', lease => ({...lease, holder}));
  */
 export async function updateObject<T extends object>(
-  api: ObjectApi,
+  api: Pick<ObjectApi, 'get' | 'put'>,
   key: string,
   change: (current: T | undefined) => T | undefined,
   options: {deadlineMs?: number} = {},
