Reset connections of abandoned requests, and bound the time to open one

A connection that is closed in a partition keeps its bytes, so that an endpoint may get a request after the partition has healed, when its caller has gone or another endpoint has answered it. A reset discards them. Without it the two new tests do not end (the endpoint sees an orderly close). Also, no further host is asked for a tunnel after 250 ms: the deadline in a request is as of the moment before.

--- a/packages/tunnels/src/dialer.ts
+++ b/packages/tunnels/src/dialer.ts
@@ -11,10 +11,17 @@
 const CONNECT_TIMEOUT_MS = 300;
 /** Time without an answer after which another host tries at the same time. */
 const HEAD_START_MS = 30;
+/** A host of the same region accepts a connection within a few milliseconds. */
+const HOST_CONNECT_TIMEOUT_MS = 100;
 /** Another host takes its own connect timeout at most. */
 const REPLY_TIMEOUT_MS = 200;
 /** Hosts that are tried for one connection; callers wait for it. */
 const MAX_HOSTS_TRIED = 4;
+/**
+ * Time after which no further host is tried: the deadline that a request states is as
+ * of the moment before the connection is opened.
+ */
+const MAX_TRYING_MS = 250;
 /** Time for which a host comes last that does not respond or is cut off too. */
 const AVOIDED_MS = 2_000;
 
@@ -102,7 +109,9 @@
   }
 
   async function openTunnel(address: string): Promise<Socket> {
+    const untilMs = performance.now() + MAX_TRYING_MS;
     for (const host of hostsToTry()) {
+      if (performance.now() > untilMs) break;
       const {socket, reply} = await ask(host, address);
       if (reply === REPLIES.opened && socket !== undefined) return socket;
       socket?.destroy();
@@ -118,7 +127,7 @@
   ): Promise<{socket?: Socket; reply?: string}> {
     let socket: Socket | undefined;
     try {
-      socket = await openSocket(tunnelAddress, REPLY_TIMEOUT_MS);
+      socket = await openSocket(tunnelAddress, HOST_CONNECT_TIMEOUT_MS);
       socket.write(formatRequest(address));
       return {socket, reply: await readLine(socket, REPLY_TIMEOUT_MS)};
     } catch {
--- a/packages/tunnels/src/reset-safe-stream.ts
+++ b/packages/tunnels/src/reset-safe-stream.ts
@@ -14,6 +14,8 @@
  */
 export function createResetSafeStream(opening: Promise<Socket>): Duplex {
   let socket: Socket | undefined;
+  /** Whether the other end has sent everything. */
+  let hasEnded = false;
   /** The write that waits for the connection; a stream has one at a time. */
   let whenOpen: ((opened: Socket) => void) | undefined;
   const stream = new Duplex({
@@ -27,7 +29,9 @@
       runWhenOpen(opened => opened.end(done));
     },
     destroy(err, done) {
-      socket?.destroy();
+      // A partition keeps unsent bytes for later, unless the connection is reset.
+      if (hasEnded) socket?.destroy();
+      else socket?.resetAndDestroy();
       done(err);
     },
   });
@@ -45,10 +49,13 @@
   }
 
   function attach(opened: Socket): void {
-    if (stream.destroyed) return void opened.destroy();
+    if (stream.destroyed) return void opened.resetAndDestroy();
     socket = opened;
     opened.on('readable', readLater);
-    opened.once('end', () => stream.push(null));
+    opened.once('end', () => {
+      hasEnded = true;
+      stream.push(null);
+    });
     opened.on('error', err => stream.destroy(err));
     opened.once('close', () => stream.destroy());
     stream.emit('connect');
--- a/packages/tunnels/test/tunnels.test.ts
+++ b/packages/tunnels/test/tunnels.test.ts
@@ -21,6 +21,7 @@
   startTunnelServer,
   type TunnelHost,
 } from '../src/index.js';
+import {openSocket} from '../src/sockets.js';
 
 const DOMAIN = id<FailureDomain>('a');
 const closers: (() => void)[] = [];
@@ -157,6 +158,26 @@
   while (!closed) await new Promise(done => setTimeout(done, 5));
 });
 
+for (const [name, openDirect] of [
+  ['directly', openSocket],
+  ['through another host', refuse],
+] as const)
+  test(`tunnels: a request that is abandoned ${name} is reset, so that no bytes arrive later`, async () => {
+    let code: string | undefined;
+    const endpoint = await startEndpoint(socket =>
+      socket.once('error', (err: NodeJS.ErrnoException) => (code = err.code)),
+    );
+    const host = await startHost('b', [endpoint.address]);
+    const stream = dial([host], endpoint.address, openDirect);
+    stream.on('error', () => {});
+    stream.write('request');
+    while (endpoint.requests.length === 0)
+      await new Promise(done => setTimeout(done, 5));
+    stream.destroy();
+    while (code === undefined) await new Promise(done => setTimeout(done, 5));
+    assert.equal(code, 'ECONNRESET');
+  });
+
 test('tunnels: a large body passes a slow reader unchanged', async () => {
   const body = 'x'.repeat(3_000_000);
   const endpoint = await startEndpoint(socket => socket.end(body));
