Tell callers when the first pause of the endpoints ends

A plain request that is refused while its endpoints have asked for a pause got a Retry-After of 300 ms, to be refused again; it is now the time until the first pause ends.

--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -82,7 +82,10 @@
     if (res.destroyed) return {kind: 'caller_left', sends: attempts.sends};
     const maySend = attempts.sends === 0 || ctx.allowance.take(service.name);
     if (state === undefined || !maySend) {
-      return failed(attempts.failure ?? noEndpoint(usable.length, tried.size));
+      return failed(
+        attempts.failure ??
+          noEndpoint(usable.length, tried.size, pauseLeftMs(exchange, ctx)),
+      );
     }
     tried.add(state.record.id);
     attempts.sent();
@@ -170,12 +173,22 @@
   );
 }
 
-function noEndpoint(usable: number, tried: number): Failure {
+function noEndpoint(usable: number, tried: number, pauseMs: number): Failure {
   return failure('no_route', `${usable} endpoints usable, ${tried} tried`, {
-    retryAfterMs: RETRY_AFTER_MS,
+    retryAfterMs: Math.max(RETRY_AFTER_MS, pauseMs),
   });
 }
 
+/** Time until the first of the endpoints that have asked for a pause accepts requests. */
+function pauseLeftMs({service}: Exchange, {table}: ExchangeContext): number {
+  const nowMs = performance.now();
+  const paused = table
+    .ofService(service.name)
+    .filter(state => !state.leaving && state.pausedUntilMs > nowMs)
+    .map(state => Math.round(state.pausedUntilMs - nowMs));
+  return paused.length > 0 ? Math.min(...paused) : 0;
+}
+
 /** If no unsuspected endpoint is left, a suspected one is better than none. */
 function suspected(
   {service}: Exchange,
--- a/packages/gateway/test/endpoint-notices.test.ts
+++ b/packages/gateway/test/endpoint-notices.test.ts
@@ -105,6 +105,20 @@
   });
 }
 
+test('notices: a caller is told to return when the first pause ends', async () => {
+  const endpoint = await startEndpoint(asksForPause);
+  const {port} = await startHarness({
+    records: [record('e0', endpoint.address)],
+  });
+  const send = (requestId: string) =>
+    sendRequest(port, {headers: {'request-id': requestId}, body: requestId});
+  await send('q0');
+  const {status, headers} = await send('q1');
+  assert.equal(status, 503);
+  const seconds = Number(headers['retry-after']);
+  assert.ok(seconds > 28 && seconds <= 30, `${seconds} s`);
+});
+
 const LIMIT = 4;
 const limits = respond(EVENT, '200 OK', `${SIGNED}limit: ${LIMIT}\r\n`);
 
