--- a/packages/gateway/src/coordination/coordination.ts
+++ b/packages/gateway/src/coordination/coordination.ts
@@ -8,9 +8,7 @@
 import {
   createContacts,
   createRequestLimits,
-  createStartBudget,
   type RequestLimits,
-  type StartBudget,
 } from '@chivewick/coordination';
 import type {Dialer} from '@chivewick/tunnels';
 import {
@@ -47,22 +45,15 @@
   parseLimits,
   parseRelease,
   parseReport,
-  parseStartAnswer,
-  parseStartAsk,
   parseSuspected,
   type CoordinatorSummary,
   type DomainSummary,
   type HostReport,
   type PathAnswer,
-  type StartAnswer,
 } from './messages.js';
-import {
-  ASK_TIMEOUT_MS,
-  createPathAsker,
-  type PathNeed,
-  type PathWork,
-} from './path-asker.js';
+import {createPathAsker, type PathNeed, type PathWork} from './path-asker.js';
 import {createRanks, type Ranks} from './ranks.js';
+import {createRequestStarts} from './request-starts.js';
 
 /**
  * Interval of a host's reports for each host of its failure domain, so that a
@@ -148,25 +139,19 @@
   const ranks = createRanks({self, fleet, contacts});
   const held = createHeldPaths();
   const limits = createRequestLimits(() => gossip.announceLimits());
-  const perSecond = (endpoint: EndpointId) => {
-    const record = table.get(endpoint)?.record;
-    return record && limits.of({endpoint, startedAtMs: record.startedAtMs});
-  };
-  const domainBudget = createStartBudget({
-    self: self.failureDomain,
-    holders: () => fleet.domains(),
-    perSecond,
-  });
-  /** For requests that no coordinator grants. */
-  const hostBudget = createStartBudget({
-    self: self.id,
-    holders: () => [self.id, ...fleet.others().map(host => host.id)],
-    perSecond,
+  const starts = createRequestStarts({
+    self,
+    fleet,
+    table,
+    limits,
+    ranks,
+    contacts,
+    datagrams: () => datagrams,
   });
   const coordinator = createCoordinator({
     ...options,
     self: self.id,
-    budget: domainBudget,
+    budget: starts.domainBudget,
     localDomain,
   });
   const quarantine = createQuarantine({
@@ -229,10 +214,7 @@
       const message = parseLimits(params);
       if (message !== undefined) limits.merge(message.limits);
     },
-    [METHODS.start](params) {
-      const message = parseStartAsk(params);
-      return message && takeFrom(domainBudget, message.endpoints);
-    },
+    [METHODS.start]: params => starts.answer(params),
     [METHODS.down](params) {
       for (const endpoint of parseSuspected(params)?.endpoints ?? [])
         suspectReported(table, endpoint);
@@ -420,11 +402,12 @@
     const usable = table.usable(need.service);
     const request = {
       ...localRequest(need),
-      mayStart: (endpoint: EndpointId) => hostBudget.isAvailable(endpoint),
+      mayStart: (endpoint: EndpointId) =>
+        starts.hostBudget.isAvailable(endpoint),
     };
     const stages = choosePath(usable, need.profile, request);
     if (stages !== undefined) {
-      hostBudget.take(stages[0].endpoint);
+      starts.hostBudget.take(stages[0].endpoint);
       return {kind: 'path', stages};
     }
     const later = {...request, limitedBy: 'nothing' as const};
@@ -455,27 +438,6 @@
     };
   }
 
-  /** Asks the coordinator, then the standby; without them, this host has its own part. */
-  async function takeStart(
-    endpoints: readonly EndpointId[],
-  ): Promise<EndpointId | undefined> {
-    for (const target of ranks.responsive().slice(0, 2)) {
-      if (target.id === self.id)
-        return takeFrom(domainBudget, endpoints).endpoint ?? undefined;
-      const answer = parseStartAnswer(
-        await datagrams.request(
-          target.address,
-          METHODS.start,
-          {endpoints},
-          ASK_TIMEOUT_MS,
-        ),
-      );
-      if (answer !== undefined) return answer.endpoint ?? undefined;
-      contacts.missed(target.id);
-    }
-    return takeFrom(hostBudget, endpoints).endpoint ?? undefined;
-  }
-
   function flushReleased(): void {
     releaseTimer = undefined;
     const released = held.takeReleased();
@@ -496,7 +458,7 @@
     ranks,
     quarantine,
     limits,
-    takeStart,
+    takeStart: endpoints => starts.take(endpoints),
     choosePath: choose,
     localRequest,
     mayRetry: service =>
@@ -514,12 +476,3 @@
     },
   };
 }
-
-/** The first of some endpoints on which a budget allows a start, which is counted. */
-function takeFrom(
-  budget: StartBudget,
-  endpoints: readonly EndpointId[],
-): StartAnswer {
-  const endpoint = endpoints.find(candidate => budget.take(candidate));
-  return {endpoint: endpoint ?? null};
-}
--- a/packages/gateway/src/coordination/path-asker.ts
+++ b/packages/gateway/src/coordination/path-asker.ts
@@ -17,7 +17,7 @@
 /** A coordinator in the same failure domain answers within a few milliseconds. */
 export const ASK_TIMEOUT_MS = 60;
 /** Coordinators that are asked before this host chooses a path by itself. */
-const MAX_ASKED = 2;
+export const MAX_ASKED = 2;
 
 /** The work that a path is needed for. */
 export type PathWork = Pick<
