Use current endpoints after a wait for a limit, and bound the message on limits

A plain request that waits for an endpoint with a limit chose among those that were usable before its wait of up to half a second, by which time one may have said that it leaves. The list is now read again. The message on limits had no bound on its size; of many, the newest 400 are sent. Found while reading the diff; the new test guards the size (2,000 limits would take some 230 KB by the size of one).

--- a/packages/coordination/src/request-limits.ts
+++ b/packages/coordination/src/request-limits.ts
@@ -5,10 +5,12 @@
  * responses of different requests may overtake each other.
  */
 const CROSSING_MS = 300;
-/** Time for which a statement is told to other hosts and a limit holds. */
+/** Time for which a statement is repeated to other hosts and a limit holds. */
 const VALID_MS = 30_000;
-/** Change of a limit that other hosts are told at once. */
+/** Fraction by which a limit changes that is announced at once. */
 const NOTABLE_CHANGE = 0.1;
+/** Statements in one message: each takes 120 bytes, and a datagram carries 64 KB. */
+const MAX_REPORTED = 400;
 
 /** One run of an endpoint; a restart ends its limit. */
 export interface LimitedRun {
@@ -105,7 +107,7 @@
           recent.push({endpoint, startedAtMs, perSecond, msAgo});
         else statements.delete(endpoint);
       }
-      return recent;
+      return recent.sort((a, b) => a.msAgo - b.msAgo).slice(0, MAX_REPORTED);
     },
   };
 }
--- a/packages/coordination/test/request-limits.test.ts
+++ b/packages/coordination/test/request-limits.test.ts
@@ -123,6 +123,16 @@
   assert.equal(second.limits.of(RUN), undefined);
 });
 
+test('limits: the largest report fits a datagram', () => {
+  const {limits} = start();
+  for (let n = 0; n < 2_000; n++)
+    limits.observe(
+      {endpoint: id<EndpointId>(`i-${n}-7f3a91c2`), startedAtMs: 1796421234567},
+      13.123456789,
+    );
+  assert.ok(Buffer.byteLength(JSON.stringify(limits.report())) < 60_000);
+});
+
 test('limits: a host that is told a limit keeps it, and tells it once', () => {
   const first = start();
   const second = start();
--- a/packages/gateway/src/choose-within-limits.ts
+++ b/packages/gateway/src/choose-within-limits.ts
@@ -12,19 +12,20 @@
  * that are preferred take no request now, the best one without a limit gets it; if there
  * is none, the request waits for a while.
  *
+ * @param endpoints those that may be used now; they may change during a wait.
  * @returns undefined if no endpoint takes the request in time.
  * @example
- * const state = await chooseWithinLimits(exchange, ctx, table.usable(service), tried);
+ * const state = await chooseWithinLimits(exchange, ctx, () => table.usable(service), tried);
  */
 export async function chooseWithinLimits(
   {arrivedMs, deadlineAtMs, res}: Exchange,
   ctx: ExchangeContext,
-  endpoints: readonly EndpointState[],
+  endpoints: () => readonly EndpointState[],
   tried: ReadonlySet<EndpointId>,
 ): Promise<EndpointState | undefined> {
   const untilMs = Math.min(arrivedMs + MAX_LIMIT_WAIT_MS, deadlineAtMs);
   for (;;) {
-    const {limited, unlimited} = preferred(ctx, endpoints, tried);
+    const {limited, unlimited} = preferred(ctx, endpoints(), tried);
     if (limited.length === 0) return unlimited;
     const granted = await ctx.coordination.takeStart(
       limited.map(state => state.record.id),
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -65,23 +65,19 @@
       return failed(attempts.failure ?? deadlineTooClose());
     if (ctx.quarantine.banOf(exchange) !== undefined)
       return failed(quarantined(attempts.runs));
-    const usable = ctx.table.usable(service.name);
+    const usable = () => ctx.table.usable(service.name);
+    // If no unsuspected endpoint is left, a suspected one is better than none.
+    const suspected = () =>
+      attempts.runs === 0 ? suspectedEndpoints(exchange, ctx) : [];
     const state =
       (await chooseWithinLimits(exchange, ctx, usable, tried)) ??
-      (attempts.runs === 0
-        ? await chooseWithinLimits(
-            exchange,
-            ctx,
-            suspected(exchange, ctx),
-            tried,
-          )
-        : undefined);
+      (await chooseWithinLimits(exchange, ctx, suspected, tried));
     if (res.destroyed) return {kind: 'caller_left', sends: attempts.sends};
     const maySend = attempts.sends === 0 || ctx.allowance.take(service.name);
     if (state === undefined || !maySend) {
       return failed(
         attempts.failure ??
-          noEndpoint(usable.length, tried.size, pauseLeftMs(exchange, ctx)),
+          noEndpoint(usable().length, tried.size, pauseLeftMs(exchange, ctx)),
       );
     }
     tried.add(state.record.id);
@@ -186,8 +182,7 @@
   return paused.length > 0 ? Math.min(...paused) : 0;
 }
 
-/** If no unsuspected endpoint is left, a suspected one is better than none. */
-function suspected(
+function suspectedEndpoints(
   {service}: Exchange,
   {table}: ExchangeContext,
 ): EndpointState[] {
