Wait for tunnels in a planned stop, and give no verdict that was not tried

A host that stops closed the tunnels of others while requests ran in them, so that a planned stop cut requests at a host beside it. They now count as requests in progress, and a stopping host opens no new ones.

A host that does not know an endpoint yet, or has too many tunnels, answered that the endpoint refuses, from which the other host would suspect it; it now says that it cannot tell. Both found while reading the diff.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -250,6 +250,7 @@
   const callers = createCallerServer({handle, log});
   const gracefulStop = createGracefulStop({
     callers,
+    tunnels: () => tunnels?.running() ?? 0,
     bounds: options.bounds,
     log,
   });
@@ -273,6 +274,7 @@
       : await startTunnelServer({
           address: options.addresses.tunnels,
           isEndpoint: address => table.byAddress(address) !== undefined,
+          isStopping: () => gracefulStop.isStopping(),
           paths,
         });
   log.event('gatewayStarted', {host: options.self.id, ...options.addresses});
--- a/packages/gateway/src/graceful-stop.ts
+++ b/packages/gateway/src/graceful-stop.ts
@@ -34,19 +34,23 @@
  * Creates the stop of a host that serves callers.
  *
  * @example
- * const gracefulStop = createGracefulStop({callers, bounds, log});
+ * const gracefulStop = createGracefulStop({callers, tunnels, bounds, log});
  * process.on('SIGTERM', () => void gracefulStop.run());
  */
 export function createGracefulStop({
   callers,
+  tunnels,
   bounds,
   log,
 }: {
   readonly callers: CallerServer;
+  /** Number of connections that carry requests of other hosts. */
+  readonly tunnels: () => number;
   readonly bounds: () => HostBounds;
   readonly log: Logger;
 }): GracefulStop {
   let stopping: Promise<void> | undefined;
+  const running = () => callers.running() + tunnels();
   const acceptUntilMs: Record<RequestKind, number> = {
     repeatable: Infinity,
     once: Infinity,
@@ -56,7 +60,7 @@
   async function run(): Promise<void> {
     const startMs = performance.now();
     const elapsedMs = () => performance.now() - startMs;
-    log.event('gatewayStopping', {running: callers.running()});
+    log.event('gatewayStopping', {running: running()});
     const {graceMs} = bounds();
     const mayWait = () => elapsedMs() < graceMs - EXIT_MARGIN_MS;
     const plainUntilMs = startMs + graceMs - PLAIN_SERVE_MS;
@@ -65,16 +69,16 @@
     acceptUntilMs.repeatable = plainUntilMs;
     while (elapsedMs() < LEAVE_ROTATION_MS) await pause(STOP_POLL_MS);
     // New connections are still accepted, to redirect callers to other hosts.
-    while (callers.running() > 0 && mayWait()) await pause(STOP_POLL_MS);
+    while (running() > 0 && mayWait()) await pause(STOP_POLL_MS);
     // The kernel resets connections that wait to be accepted. After the event loop
     // has polled, none is waiting.
     await new Promise(resolve => setImmediate(resolve));
     // The close of an HTTP server also closes connections without a request yet.
     NetServer.prototype.close.call(callers.server);
     await pause(LINGER_MS);
-    while (callers.running() > 0 && mayWait()) await pause(STOP_POLL_MS);
+    while (running() > 0 && mayWait()) await pause(STOP_POLL_MS);
     log.event('gatewayStopped', {
-      running: callers.running(),
+      running: running(),
       elapsedMs: Math.round(elapsedMs()),
     });
   }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -356,7 +356,8 @@
   control?: EngineControl;
 }) {
   const store = createFakeFeed();
-  const [callers, readiness, metrics, peers] = await Promise.all([
+  const [callers, readiness, metrics, tunnels, peers] = await Promise.all([
+    freePort(),
     freePort(),
     freePort(),
     freePort(),
@@ -387,6 +388,7 @@
       readiness: `127.0.0.1:${readiness}`,
       peers: `127.0.0.1:${peers}`,
       metrics: `127.0.0.1:${metrics}`,
+      tunnels: `127.0.0.1:${tunnels}`,
     },
     bounds: () => ({...BOUNDS, ...options.bounds}),
     feed: store.feed,
@@ -417,6 +419,7 @@
     port: callers,
     readinessPort: readiness,
     metricsPort: metrics,
+    tunnelsPort: tunnels,
   };
 }
 
--- a/packages/gateway/test/stop-under-load.test.ts
+++ b/packages/gateway/test/stop-under-load.test.ts
@@ -17,6 +17,8 @@
 after(closeHarnesses);
 
 const CONNECTIONS = 24;
+/** Longer than a host that stops without requests in progress takes. */
+const SLOW_RESPONSE_MS = 4_000;
 
 /** Resolves once connected; undefined if the host does not listen any more. */
 function open(port: number): Promise<Socket | undefined> {
@@ -84,3 +86,20 @@
   assert.equal((await reply).body, 'done');
   await Promise.all([first, second]);
 });
+
+test('stop: a request that another host sends through this one is not cut off', async () => {
+  const endpoint = await startEndpoint(
+    (stream, head) =>
+      void setTimeout(() => respond('done')(stream, head), SLOW_RESPONSE_MS),
+  );
+  const {gateway, tunnelsPort} = await startHarness({
+    records: [record('e1', endpoint.address)],
+  });
+  const socket = (await open(tunnelsPort))!;
+  socket.write(`connect ${endpoint.address}\n`);
+  const response = exchange(socket, 'q1');
+  await until(() => endpoint.heads.length > 0);
+  const stopped = gateway.stop();
+  assert.match(await response, /^opened\nHTTP\/1.1 200[^]*done$/);
+  await stopped;
+});
--- a/packages/tunnels/src/protocol.ts
+++ b/packages/tunnels/src/protocol.ts
@@ -6,10 +6,10 @@
 /** What the other host says after it has tried to connect. */
 export const REPLIES = {
   opened: 'opened',
-  /** The endpoint does not accept a connection, or is not known. */
+  /** The endpoint does not accept a connection. */
   refused: 'refused',
-  /** The other host does not reach the endpoint either. */
-  cutOff: 'cut off',
+  /** The other host cannot tell: it is cut off or stopping, or has too many tunnels. */
+  unknown: 'unknown',
 } as const;
 
 /** Formats the first line of a tunnel, which names the endpoint. */
--- a/packages/tunnels/src/tunnel-server.ts
+++ b/packages/tunnels/src/tunnel-server.ts
@@ -14,6 +14,8 @@
 
 /** Connects other hosts to endpoints. */
 export interface TunnelServer {
+  /** Number of tunnels that are open or being opened. */
+  running(): number;
   close(): void;
 }
 
@@ -23,39 +25,43 @@
  * appear complete. Rejects if the address cannot be bound.
  *
  * @param options.address `ip:port` to listen on.
+ * @param options.isStopping whether this host opens no tunnels any more.
  * @example
- * const server = await startTunnelServer({address, isEndpoint, paths});
+ * const server = await startTunnelServer({address, isEndpoint, isStopping, paths});
  */
 export async function startTunnelServer(options: {
   readonly address: string;
   readonly isEndpoint: (address: string) => boolean;
+  readonly isStopping: () => boolean;
   readonly paths: Pick<DirectPaths, 'isLost' | 'expectsLoss'>;
 }): Promise<TunnelServer> {
-  const {isEndpoint, paths} = options;
+  const {isEndpoint, isStopping, paths} = options;
   const clients = new Set<Socket>();
   const server = createServer({noDelay: true}, client => {
     clients.add(client);
     client.on('error', () => client.destroy());
     client.once('close', () => clients.delete(client));
-    if (clients.size > MAX_TUNNELS) return reject(client, 'refused');
+    if (clients.size > MAX_TUNNELS || isStopping())
+      return reject(client, 'unknown');
     void serve(client);
   });
 
   async function serve(client: Socket): Promise<void> {
     try {
       const target = parseRequest(await readLine(client, REQUEST_TIMEOUT_MS));
-      if (target === undefined || !isEndpoint(target))
-        return reject(client, 'refused');
-      if (paths.isLost(target)) return reject(client, 'cutOff');
+      // An endpoint that this host has not heard of yet may well be up.
+      const isKnown = target !== undefined && isEndpoint(target);
+      if (!isKnown || paths.isLost(target)) return reject(client, 'unknown');
       join(client, await openSocket(target, CONNECT_TIMEOUT_MS));
     } catch {
       // The reply tells the other host, which logs what becomes of its request.
-      reject(client, paths.expectsLoss() ? 'cutOff' : 'refused');
+      reject(client, paths.expectsLoss() ? 'unknown' : 'refused');
     }
   }
 
   await listen(server, options.address);
   return {
+    running: () => clients.size,
     close() {
       server.close();
       for (const client of clients) client.destroy();
--- a/packages/tunnels/test/tunnels.test.ts
+++ b/packages/tunnels/test/tunnels.test.ts
@@ -57,11 +57,13 @@
   name: string,
   endpoints: readonly string[],
   isCutOff = false,
+  isStopping = false,
 ): Promise<TunnelHost> {
   const tunnelAddress = await freeAddress();
   const server = await startTunnelServer({
     address: tunnelAddress,
     isEndpoint: address => endpoints.includes(address),
+    isStopping: () => isStopping,
     paths: {isLost: () => isCutOff, expectsLoss: () => isCutOff},
   });
   closers.push(() => server.close());
@@ -118,18 +120,21 @@
   assert.deepEqual(endpoint.requests, ['request', 'request']);
 });
 
-test('tunnels: a host that is cut off itself is passed over, and so is one that is gone', async () => {
+test('tunnels: a host that is cut off itself, stops or is gone is passed over', async () => {
   const endpoint = await startEndpoint(socket => socket.end('response'));
   const gone = {
     ...(await startHost('gone', [])),
     tunnelAddress: await freeAddress(),
   };
   const cutOff = await startHost('cut', [endpoint.address], true);
+  const stopping = await startHost('stop', [endpoint.address], false, true);
   const host = {
     ...(await startHost('b', [endpoint.address])),
     failureDomain: DOMAIN,
   };
-  const result = await exchange(dial([gone, cutOff, host], endpoint.address));
+  const result = await exchange(
+    dial([gone, cutOff, stopping, host], endpoint.address),
+  );
   assert.equal(result.body, 'response');
   assert.equal(endpoint.requests.length, 1);
 });
