Mark the end of a response in a tunnel, so that no host's end is taken for it

What callers saw: a host that was cut off from an endpoint sent through another host.

Cause: a tunnel passed the end of the endpoint's connection on as the end of its own. The kernel ends the connections of a killed process in the same way, so that a response without a length appeared complete.

Change: the carrying host sends the endpoint's bytes in frames, and an empty frame for their end. A tunnel that ends before it fails the attempt as a reset does. The first line of a tunnel has a new verb, so that hosts of versions before and after open no tunnels for each other.

--- a/packages/gateway/test/cut-off.test.ts
+++ b/packages/gateway/test/cut-off.test.ts
@@ -1,9 +1,9 @@
 // Guards against the loss of requests at a host that reaches no endpoint by itself while
 // other hosts do, and against blaming the endpoints or the requests for it.
 import {id, type FailureDomain, type HostId} from '@chivewick/common';
-import type {TunnelHost} from '@chivewick/tunnels';
+import {createFrameWriter, type TunnelHost} from '@chivewick/tunnels';
 import assert from 'node:assert/strict';
-import {connect, createServer, type AddressInfo} from 'node:net';
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 import {after, test} from 'node:test';
 import {
   closeHarnesses,
@@ -33,9 +33,11 @@
 /** A host that reaches an endpoint in place of each that has crashed for this one. */
 async function startTunnelHost(
   endpoint: FakeEndpoint,
-): Promise<{host: TunnelHost; opened: () => number}> {
+): Promise<{host: TunnelHost; opened: () => number; end: () => void}> {
   let opened = 0;
+  const clients = new Set<Socket>();
   const server = createServer(client => {
+    clients.add(client);
     client.on('error', () => {});
     client.once('data', () => {
       opened += 1;
@@ -43,7 +45,8 @@
       const upstream = connect(Number(port), ip);
       client.write('opened\n');
       upstream.on('error', () => client.destroy());
-      upstream.pipe(client);
+      client.once('close', () => upstream.destroy());
+      upstream.pipe(createFrameWriter()).pipe(client);
       client.pipe(upstream);
     });
   });
@@ -57,6 +60,10 @@
       failureDomain: id<FailureDomain>('b'),
     },
     opened: () => opened,
+    end() {
+      server.close();
+      for (const client of clients) client.destroy();
+    },
   };
 }
 
@@ -86,7 +93,7 @@
     ),
     tunnelHosts: [tunnel.host],
   });
-  return {...harness, opened: tunnel.opened};
+  return {...harness, opened: tunnel.opened, endHost: tunnel.end};
 }
 
 const endpointsOf = (behavior: Behavior, count: number) =>
@@ -151,3 +158,25 @@
   real.behavior = works;
   assert.equal((await send(9)).status, 200);
 });
+
+/** Begins a response without a length; it ends with its connection. */
+const begins =
+  (part: string): Behavior =>
+  (socket, head) =>
+    void socket.write(
+      `HTTP/1.1 200 OK\r\nsignature: s\r\nrequest-id: ${header(head, 'request-id')}\r\n\r\n${part}`,
+    );
+
+for (const kind of ['repeatable', 'once', 'stream'] as const)
+  test(`cut off: a ${kind} response is not complete because the host that carries it ends`, async () => {
+    const endpoints = await endpointsOf(works, 2);
+    const real = await startEndpoint(begins(event(1)));
+    const {port, endHost} = await start(kind, endpoints, real);
+    for (const endpoint of endpoints) endpoint.crash();
+    const reply = sendRequest(port, {body: 'a'});
+    await until(() => real.heads.length > 0);
+    await new Promise(done => setTimeout(done, 50));
+    endHost();
+    const {status, complete} = await reply;
+    assert.equal(status === 200 && complete, false);
+  });
--- a/packages/tunnels/src/dialer.ts
+++ b/packages/tunnels/src/dialer.ts
@@ -2,9 +2,10 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {DirectPaths} from './direct-paths.js';
+import {createFrameReader} from './frames.js';
 import {formatRequest, REPLIES} from './protocol.js';
 import {readLine} from './read-line.js';
-import {createResetSafeStream} from './reset-safe-stream.js';
+import {createResetSafeStream, type Connection} from './reset-safe-stream.js';
 import {openSocket} from './sockets.js';
 
 /** Opening a connection within the same region takes a few milliseconds. */
@@ -71,8 +72,10 @@
   const {paths, random, failureDomain, openDirect = openSocket} = options;
   const avoidedUntilMs = new Map<HostId, number>();
 
-  async function open(address: string): Promise<Socket> {
-    const openDirectly = () => openDirect(address, CONNECT_TIMEOUT_MS);
+  async function open(address: string): Promise<Connection> {
+    const openDirectly = async () => ({
+      socket: await openDirect(address, CONNECT_TIMEOUT_MS),
+    });
     if (options.hosts().length === 0) return openDirectly();
     if (paths.isLost(address)) return openTunnel(address);
     const direct = openDirectly();
@@ -88,32 +91,33 @@
   /** The connection that is opened first; the other one is closed. */
   async function firstOpened(
     address: string,
-    direct: Promise<Socket>,
-    tunnel: Promise<Socket>,
-  ): Promise<Socket> {
+    direct: Promise<Connection>,
+    tunnel: Promise<Connection>,
+  ): Promise<Connection> {
     let isDecided = false;
-    const take = (isLost: boolean) => (socket: Socket) => {
-      if (isDecided) return void socket.destroy();
+    const take = (isLost: boolean) => (connection: Connection) => {
+      if (isDecided) return void connection.socket.destroy();
       isDecided = true;
       if (isLost) paths.lose(address);
       else paths.reach(address);
-      return socket;
+      return connection;
     };
     const opened = [direct.then(take(false)), tunnel.then(take(true))];
     try {
-      return (await Promise.any(opened)) as Socket;
+      return (await Promise.any(opened)) as Connection;
     } catch {
       // What the other hosts know says more than this host's own failure.
       return tunnel;
     }
   }
 
-  async function openTunnel(address: string): Promise<Socket> {
+  async function openTunnel(address: string): Promise<Connection> {
     const untilMs = performance.now() + MAX_TRYING_MS;
     for (const host of hostsToTry()) {
       if (performance.now() > untilMs) break;
       const {socket, reply} = await ask(host, address);
-      if (reply === REPLIES.opened && socket !== undefined) return socket;
+      if (reply === REPLIES.opened && socket !== undefined)
+        return {socket, frames: createFrameReader()};
       socket?.destroy();
       if (reply === REPLIES.refused) throw new Error('connection refused');
       avoidedUntilMs.set(host.id, performance.now() + AVOIDED_MS);
@@ -156,7 +160,7 @@
     dial: address => createResetSafeStream(open(address)),
     async isDown(address) {
       try {
-        const socket = await open(address);
+        const {socket} = await open(address);
         socket.destroy();
         return false;
       } catch (err) {
--- a/packages/tunnels/src/index.ts
+++ b/packages/tunnels/src/index.ts
@@ -1,4 +1,5 @@
 export * from './dialer.js';
 export * from './dialing-agent.js';
 export * from './direct-paths.js';
+export {createFrameWriter} from './frames.js';
 export * from './tunnel-server.js';
--- a/packages/tunnels/src/protocol.ts
+++ b/packages/tunnels/src/protocol.ts
@@ -1,6 +1,11 @@
 /** Ends each line of the exchange that opens a tunnel. */
 const LINE_END = '\n';
-/** `connect 255.255.255.255:65535` is the longest line. */
+/**
+ * Names the form of what follows: responses in frames. A host of another version does not
+ * know it and opens no tunnel.
+ */
+const VERB = 'connect-framed';
+/** `connect-framed 255.255.255.255:65535` is the longest line. */
 const MAX_LINE_BYTES = 64;
 
 /** What the other host says after it has tried to connect. */
@@ -14,7 +19,7 @@
 
 /** Formats the first line of a tunnel, which names the endpoint. */
 export function formatRequest(address: string): string {
-  return `connect ${address}${LINE_END}`;
+  return `${VERB} ${address}${LINE_END}`;
 }
 
 /** Formats the reply of the host at the other end. */
@@ -24,7 +29,10 @@
 
 /** Returns the address in a request line; undefined if it is not one. */
 export function parseRequest(line: string): string | undefined {
-  return /^connect (\d{1,3}(?:\.\d{1,3}){3}:\d{1,5})$/.exec(line)?.[1];
+  const [verb, address = '', ...others] = line.split(' ');
+  if (verb !== VERB || others.length > 0) return undefined;
+  const isAddress = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/.test(address);
+  return isAddress ? address : undefined;
 }
 
 /**
--- a/packages/tunnels/src/reset-safe-stream.ts
+++ b/packages/tunnels/src/reset-safe-stream.ts
@@ -1,5 +1,13 @@
 import type {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
+import type {FrameReader} from './frames.js';
+
+/** A connection to an endpoint, or through another host to one. */
+export interface Connection {
+  readonly socket: Socket;
+  /** Set if the bytes of the endpoint arrive in frames. */
+  readonly frames?: FrameReader;
+}
 
 /**
  * Wraps a connection that is being opened, and never reports a reset as a normal end of
@@ -7,13 +15,15 @@
  * stream if the socket continues to read at that moment (`uv__stream_io` with
  * `POLLHUP` after a partial read). A response without a length would then appear
  * complete. Therefore each chunk is read in a later turn of the event loop, so that the
- * next read encounters the reset. The stream emits `connect` once it is open.
+ * next read encounters the reset. A tunnel that ends before the endpoint does is an error
+ * too. The stream emits `connect` once it is open.
  *
  * @example
- * const stream = createResetSafeStream(openSocket('10.1.64.9:8080', 300));
+ * const stream = createResetSafeStream(open('10.1.64.9:8080'));
  */
-export function createResetSafeStream(opening: Promise<Socket>): Duplex {
+export function createResetSafeStream(opening: Promise<Connection>): Duplex {
   let socket: Socket | undefined;
+  let frames: FrameReader | undefined;
   /** Whether the other end has sent everything. */
   let hasEnded = false;
   /** The write that waits for the connection; a stream has one at a time. */
@@ -44,18 +54,34 @@
   function readLater(): void {
     setImmediate(() => {
       const chunk = socket?.read() as Buffer | null | undefined;
-      if (chunk) stream.push(chunk);
+      if (chunk) receive(chunk);
     });
   }
 
-  function attach(opened: Socket): void {
+  function receive(chunk: Buffer): void {
+    if (frames === undefined) return void stream.push(chunk);
+    if (hasEnded) return;
+    for (const bytes of frames.read(chunk)) stream.push(bytes);
+    if (frames.hasEnded()) endStream();
+  }
+
+  function endStream(): void {
+    hasEnded = true;
+    stream.push(null);
+  }
+
+  function onSocketEnd(): void {
+    if (hasEnded) return;
+    if (frames === undefined) return endStream();
+    stream.destroy(new Error('tunnel closed before the end of the response'));
+  }
+
+  function attach(connection: Connection): void {
+    const opened = connection.socket;
     if (stream.destroyed) return void opened.resetAndDestroy();
-    socket = opened;
+    ({socket, frames} = connection);
     opened.on('readable', readLater);
-    opened.once('end', () => {
-      hasEnded = true;
-      stream.push(null);
-    });
+    opened.once('end', onSocketEnd);
     opened.on('error', err => stream.destroy(err));
     opened.once('close', () => stream.destroy());
     stream.emit('connect');
--- a/packages/tunnels/src/tunnel-server.ts
+++ b/packages/tunnels/src/tunnel-server.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server, type Socket} from 'node:net';
+import {createFrameWriter} from './frames.js';
 import {formatReply, parseRequest, type REPLIES} from './protocol.js';
 import {readLine} from './read-line.js';
 import type {DirectPaths} from './direct-paths.js';
@@ -20,9 +21,9 @@
 }
 
 /**
- * Starts the server. It opens connections to known endpoints only, and passes bytes on
- * unchanged; a reset stays a reset, so that a response that is cut off does not
- * appear complete. Rejects if the address cannot be bound.
+ * Starts the server. It opens connections to known endpoints only. It passes requests on
+ * unchanged and responses in frames; a reset stays a reset, so that a response that is
+ * cut off does not appear complete. Rejects if the address cannot be bound.
  *
  * @param options.address `ip:port` to listen on.
  * @param options.isStopping whether this host opens no tunnels any more.
@@ -73,14 +74,17 @@
   client.end(formatReply(reply));
 }
 
-/** Passes bytes between a host and an endpoint until one of them closes. */
-function join(client: Socket, opened: Socket): void {
-  if (client.destroyed) return void opened.destroy();
-  const endpoint = createResetSafeStream(Promise.resolve(opened));
+/**
+ * Passes bytes between a host and an endpoint until one of them closes. The host is sent
+ * the end of the endpoint's bytes only if the endpoint has ended them.
+ */
+function join(client: Socket, socket: Socket): void {
+  if (client.destroyed) return void socket.destroy();
+  const endpoint = createResetSafeStream(Promise.resolve({socket}));
   client.write(formatReply('opened'));
   endpoint.once('error', () => client.resetAndDestroy());
   client.once('close', () => endpoint.destroy());
-  endpoint.pipe(client);
+  endpoint.pipe(createFrameWriter()).pipe(client);
   client.pipe(endpoint);
 }
 
--- a/packages/tunnels/test/tunnels.test.ts
+++ b/packages/tunnels/test/tunnels.test.ts
@@ -7,6 +7,7 @@
   type FailureDomain,
   type HostId,
 } from '@chivewick/common';
+import fc from 'fast-check';
 import assert from 'node:assert/strict';
 import {
   createServer,
@@ -21,6 +22,7 @@
   startTunnelServer,
   type TunnelHost,
 } from '../src/index.js';
+import {createFrameReader, createFrameWriter} from '../src/frames.js';
 import {openSocket} from '../src/sockets.js';
 
 const DOMAIN = id<FailureDomain>('a');
@@ -58,7 +60,7 @@
   endpoints: readonly string[],
   isCutOff = false,
   isStopping = false,
-): Promise<TunnelHost> {
+): Promise<TunnelHost & {stop(): void}> {
   const tunnelAddress = await freeAddress();
   const server = await startTunnelServer({
     address: tunnelAddress,
@@ -67,7 +69,12 @@
     paths: {isLost: () => isCutOff, expectsLoss: () => isCutOff},
   });
   closers.push(() => server.close());
-  return {id: id<HostId>(name), tunnelAddress, failureDomain: DOMAIN};
+  return {
+    id: id<HostId>(name),
+    tunnelAddress,
+    failureDomain: DOMAIN,
+    stop: () => server.close(),
+  };
 }
 
 const refuse = () => Promise.reject(new Error('refused'));
@@ -148,6 +155,40 @@
   assert.equal(ending, 'error');
 });
 
+// The kernel ends the connections of a killed process as this stop does.
+test('tunnels: the end of the other host does not look like the end of a response', async () => {
+  const endpoint = await startEndpoint(socket => socket.write('part'));
+  const host = await startHost('b', [endpoint.address]);
+  const stream = dial([host], endpoint.address);
+  const result = exchange(stream);
+  await new Promise(done => stream.once('data', done));
+  host.stop();
+  assert.deepEqual(await result, {body: 'part', ending: 'error'});
+});
+
+test('tunnels: frames that are split anywhere give the bytes that were sent', () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.uint8Array({minLength: 1, maxLength: 9}), {minLength: 1}),
+      fc.integer({min: 1, max: 7}),
+      (chunks, size) => {
+        const writer = createFrameWriter();
+        for (const chunk of chunks) writer.write(chunk);
+        writer.end();
+        const framed = writer.read() as Buffer;
+        const reader = createFrameReader();
+        const received: Buffer[] = [];
+        for (let at = 0; at < framed.length; at += size) {
+          assert.equal(reader.hasEnded(), false);
+          received.push(...reader.read(framed.subarray(at, at + size)));
+        }
+        assert.deepEqual(Buffer.concat(received), Buffer.concat(chunks));
+        assert.equal(reader.hasEnded(), true);
+      },
+    ),
+  );
+});
+
 test('tunnels: the endpoint notices that the host has left', async () => {
   let closed = false;
   const endpoint = await startEndpoint(socket => {
@@ -194,6 +235,7 @@
 for (const [name, target] of [
   ['an address that is no endpoint', '127.0.0.1:9'],
   ['a line that is no request', 'nonsense'],
+  ['a line with more than an address', '127.0.0.1:9 x'],
 ] as const)
   test(`tunnels: ${name} is refused`, async () => {
     const host = await startHost('b', []);
