Check that an endpoint is still there after a response without a length

Cause: a response with neither a length nor chunks ends with its connection. The kernel also ends the connections of a killed process, unless they hold unread bytes, so that the part that had arrived counted as the whole response.

Change: after such an end the host opens a connection to the endpoint. If it is refused, here and at another host, the process is gone and the response is broken off: resumed, sent again, or answered with 502. A tunnel's host now tells a refusal from an endpoint that does not respond; the latter may be busy or suspended, and its responses stay whole. Plain responses of endpoints that leave are not checked, since those may exit right after their last response.

--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -282,11 +282,18 @@
  * const mayBeUsed = acceptsRequests(state, performance.now());
  */
 export function acceptsRequests(state: EndpointState, nowMs: number): boolean {
-  return (
-    state.record.state === 'ready' &&
-    !state.leaving &&
-    state.pausedUntilMs <= nowMs
-  );
+  const {record, leaving, pausedUntilMs} = state;
+  return record.state === 'ready' && !leaving && pausedUntilMs <= nowMs;
+}
+
+/**
+ * Whether an endpoint stops or has stopped as planned.
+ *
+ * @example
+ * if (isLeaving(state)) sendElsewhere();
+ */
+export function isLeaving({record, leaving, removed}: EndpointState): boolean {
+  return removed || leaving || record.state === 'draining';
 }
 
 /**
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -5,6 +5,7 @@
 import {chooseWithinLimits} from './choose-within-limits.js';
 import {
   acceptsRequests,
+  isLeaving,
   observeLatency,
   type EndpointState,
 } from './endpoint-table.js';
@@ -246,6 +247,7 @@
           priority: workspace?.priority ?? rule.priority,
         }),
         body,
+        isLeaving: () => isLeaving(state),
       },
       {
         sent: () => (sent = true),
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -11,6 +11,11 @@
   /** Alternating names and values, without `content-length`. */
   readonly headers: readonly string[];
   readonly body?: Buffer;
+  /**
+   * Whether the endpoint is about to stop, so that it may well be gone as soon as its
+   * response is complete.
+   */
+  readonly isLeaving?: () => boolean;
 }
 
 /** Callbacks of a call; none is called after `ended`, `failed` or `abort`. */
@@ -44,6 +49,9 @@
  * undici 7 accepts a response without a length as complete when its connection is
  * reset.
  *
+ * A response without a length ends with its connection, and so does one whose endpoint
+ * is killed. It counts as complete only if the endpoint still accepts connections.
+ *
  * @example
  * const upstream = createUpstream(dialer);
  * const call = upstream.send({address, method: 'GET', path: '/', headers: []}, events);
@@ -79,14 +87,23 @@
         response.on('data', (chunk: Buffer) => {
           if (!done) events.data(chunk);
         });
-        response.once('end', () =>
-          response.complete
-            ? finish(() => events.ended())
-            : fail(new Error('response ended early')),
-        );
+        response.once('end', () => {
+          if (!response.complete)
+            return fail(new Error('response ended early'));
+          if (endsWithConnection(response) && options.isLeaving?.() !== true)
+            return void confirmEnd();
+          finish(() => events.ended());
+        });
         response.once('error', fail);
         events.answered(response.statusCode ?? 0, response.headers);
       });
+      const confirmEnd = async () => {
+        if (await dialer.isRefused(options.address))
+          return fail(
+            new Error('endpoint was gone at the end of its response'),
+          );
+        finish(() => events.ended());
+      };
       // `on` rather than `once`: a destroyed call may emit several errors.
       call.on('error', fail);
       call.once('close', () => {
@@ -109,3 +126,12 @@
     },
   };
 }
+
+/** Whether a response has neither a length nor chunks (RFC 9112, section 6.3). */
+function endsWithConnection({statusCode, headers}: IncomingMessage): boolean {
+  if (statusCode === 204 || statusCode === 304) return false;
+  return (
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined
+  );
+}
--- a/packages/tunnels/src/dialer.ts
+++ b/packages/tunnels/src/dialer.ts
@@ -40,12 +40,20 @@
  */
 export class UnreachableError extends Error {}
 
+/** No process listens at the endpoint's address, as another host has found too. */
+class RefusedError extends Error {}
+
 /** Opens connections to endpoints. */
 export interface Dialer {
   /** Returns a stream that emits `connect` once it is open, `error` if it fails. */
   dial(address: string): Duplex;
   /** Whether an endpoint is known to accept no connection of any host. */
   isDown(address: string): Promise<boolean>;
+  /**
+   * Whether connections to an endpoint are refused, because its process has ended. One
+   * that does not respond may be busy or suspended, and is not refused.
+   */
+  isRefused(address: string): Promise<boolean>;
   /**
    * Registers a listener for endpoints that this host can no longer reach by itself,
    * while another can; returns its unsubscribe function.
@@ -119,7 +127,8 @@
       if (reply === REPLIES.opened && socket !== undefined)
         return {socket, frames: createFrameReader()};
       socket?.destroy();
-      if (reply === REPLIES.refused) throw new Error('connection refused');
+      if (reply === REPLIES.refused) throw new RefusedError('refused');
+      if (reply === REPLIES.silent) throw new Error('connect timeout');
       avoidedUntilMs.set(host.id, performance.now() + AVOIDED_MS);
     }
     throw new UnreachableError('no other host has a connection');
@@ -167,6 +176,17 @@
         return !(err instanceof UnreachableError);
       }
     },
+    async isRefused(address) {
+      try {
+        const {socket} = await open(address);
+        socket.destroy();
+        return false;
+      } catch (err) {
+        const isRefusal =
+          (err as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+        return isRefusal || err instanceof RefusedError;
+      }
+    },
     onLost: fn => paths.onLost(fn),
   };
 }
--- a/packages/tunnels/src/protocol.ts
+++ b/packages/tunnels/src/protocol.ts
@@ -11,8 +11,10 @@
 /** What the other host says after it has tried to connect. */
 export const REPLIES = {
   opened: 'opened',
-  /** The endpoint does not accept a connection. */
+  /** No process listens at the endpoint's address. */
   refused: 'refused',
+  /** The endpoint does not accept a connection in time. */
+  silent: 'silent',
   /** The other host cannot tell: it is cut off or stopping, or has too many tunnels. */
   unknown: 'unknown',
 } as const;
--- a/packages/tunnels/src/tunnel-server.ts
+++ b/packages/tunnels/src/tunnel-server.ts
@@ -54,9 +54,11 @@
       const isKnown = target !== undefined && isEndpoint(target);
       if (!isKnown || paths.isLost(target)) return reject(client, 'unknown');
       join(client, await openSocket(target, CONNECT_TIMEOUT_MS));
-    } catch {
+    } catch (err) {
       // The reply tells the other host, which logs what becomes of its request.
-      reject(client, paths.expectsLoss() ? 'unknown' : 'refused');
+      const isRefusal = (err as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+      const verdict = isRefusal ? 'refused' : 'silent';
+      reject(client, paths.expectsLoss() ? 'unknown' : verdict);
     }
   }
 
