Report requests that cannot be sent, so that they do not end the process

Cause: Node's client throws for characters that HTTP does not allow, after the listeners of the request are set. The next of them read the call before its initialization, outside of any promise.

Change: the client for endpoints reports such a request as failed and not sent; a path with such characters is answered with 400.

Evidence: callers.test.ts "a path with \t", "a path with \f" (Cannot access 'call' before initialization) and upstream.test.ts "a header that HTTP does not allow" fail on the code before; 24 of 24 pass now.

--- a/packages/gateway/src/handle-request.ts
+++ b/packages/gateway/src/handle-request.ts
@@ -42,6 +42,9 @@
 /** Short, because another host may serve the request immediately. */
 const ELSEWHERE_RETRY_AFTER_MS = 50;
 
+/** Characters that Node's parser takes in a path, but that no request may be sent with. */
+const INVALID_PATH = /[^\x21-\xff]/;
+
 /** Dependencies of the request handler. */
 export interface HandlerOptions {
   readonly ctx: ExchangeContext;
@@ -224,10 +227,13 @@
   if (headerBytes(req.rawHeaders) > maxHeaderBytes) {
     return refusal('headers_too_large', `over ${maxHeaderBytes} bytes`);
   }
-  const {strictRevocation, revokeMs} = options.bounds();
-  const maxAgeMs = revokeMs - AGE_MARGIN_MS;
   const host = req.headers.host ?? '';
   const path = req.url ?? '/';
+  if (INVALID_PATH.test(path)) {
+    return refusal('invalid_request', 'the path has invalid characters');
+  }
+  const {strictRevocation, revokeMs} = options.bounds();
+  const maxAgeMs = revokeMs - AGE_MARGIN_MS;
   if (strictRevocation && options.freshness.ageMs() > maxAgeMs) {
     const rule = options.routing()!.match(host, path);
     if (
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -1,5 +1,5 @@
 import {createDialingAgent, type Dialer} from '@chivewick/tunnels';
-import {request, type IncomingMessage} from 'node:http';
+import {request, type ClientRequest, type IncomingMessage} from 'node:http';
 import type {Headers} from './types.js';
 
 /** A request to an endpoint. */
@@ -74,7 +74,14 @@
         notify();
       };
       const fail = (err: Error) => finish(() => events.failed(err));
-      const call = request({host, port, method, path, headers, agent});
+      let call: ClientRequest;
+      try {
+        call = request({host, port, method, path, headers, agent});
+      } catch (err) {
+        // Characters that HTTP does not allow, for example in the id of an endpoint.
+        queueMicrotask(() => fail(err as Error));
+        return {abort: () => finish(() => {}), pause() {}, resume() {}};
+      }
       call.once('socket', socket => {
         socket.once('connect', () => {
           if (!done) events.sent();
--- a/packages/gateway/test/callers.test.ts
+++ b/packages/gateway/test/callers.test.ts
@@ -52,6 +52,11 @@
 }
 
 const INPUTS: readonly {name: string; bytes: string; status: number}[] = [
+  ...['\t', '\f'].map(character => ({
+    name: `a path with ${JSON.stringify(character)}`,
+    bytes: `${HEAD.replace('/x', `/x${character}`)}connection: close\r\n\r\n0123456789`,
+    status: 400,
+  })),
   {
     name: 'headers over the limit of the configuration',
     bytes: `${HEAD}a: ${'a'.repeat(2_000)}\r\n\r\n0123456789`,
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -170,3 +170,27 @@
   });
   assert.equal(sent, false);
 });
+
+// An exception there would end the process with all requests in progress.
+test('upstream: a header that HTTP does not allow is reported as failed', async () => {
+  const events: string[] = [];
+  const call = upstream.send(
+    {
+      address: '127.0.0.1:9',
+      method: 'GET',
+      path: '/',
+      headers: ['x-endpoint', 'i-\ufffd'],
+    },
+    {
+      sent: () => events.push('sent'),
+      answered: () => events.push('answered'),
+      data: () => events.push('data'),
+      ended: () => events.push('ended'),
+      failed: ({message}) => events.push(message),
+    },
+  );
+  await new Promise(done => setImmediate(done));
+  call.abort();
+  assert.equal(events.length, 1);
+  assert.match(events[0], /Invalid character/);
+});
