--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,7 @@
 export * from './http-path.js';
 export * from './http-server.js';
 export * from './ids.js';
+export * from './ip-address.js';
 export * from './lines.js';
 export * from './log-events/index.js';
 export * from './logger.js';
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -1,4 +1,9 @@
-import {pause, type FailureDomain, type HostId} from '@chivewick/common';
+import {
+  isIpAddress,
+  pause,
+  type FailureDomain,
+  type HostId,
+} from '@chivewick/common';
 import type {RankedHost} from '@chivewick/coordination';
 import {isDeepStrictEqual} from 'node:util';
 import {nameOfKey, type ObjectStore} from '@chivewick/platform';
@@ -138,8 +143,9 @@
     {}) as Partial<FleetHost>;
   if (typeof address !== 'string' || typeof failureDomain !== 'string')
     return undefined;
-  if (typeof cores !== 'number') return undefined;
-  return typeof tunnelAddress === 'string'
+  // Sending to a port that is out of range throws.
+  if (!isIpAddress(address) || typeof cores !== 'number') return undefined;
+  return typeof tunnelAddress === 'string' && isIpAddress(tunnelAddress)
     ? {id, address, failureDomain, cores, tunnelAddress}
     : {id, address, failureDomain, cores};
 }
--- a/packages/tunnels/src/protocol.ts
+++ b/packages/tunnels/src/protocol.ts
@@ -1,3 +1,5 @@
+import {isIpAddress} from '@chivewick/common';
+
 /** Ends each line of the exchange that opens a tunnel. */
 const LINE_END = '\n';
 /**
@@ -33,8 +35,7 @@
 export function parseRequest(line: string): string | undefined {
   const [verb, address = '', ...others] = line.split(' ');
   if (verb !== VERB || others.length > 0) return undefined;
-  const isAddress = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/.test(address);
-  return isAddress ? address : undefined;
+  return isIpAddress(address) ? address : undefined;
 }
 
 /**
