Leave bytes that are not read at their sender

Cause: the wrapper of a connection read on whether its reader took the bytes or not, and Node's HTTP client pauses only sockets of its own. A stream that was paused for a slow caller collected its bytes in the host.

Change: the wrapper reads while its reader takes more, and a paused stream pauses its connection.

Evidence: tunnels.test.ts "bytes that are not read stay at the sender", directly and through another host, fails on the code before with 67,108,864 bytes taken; 15 of 15 pass now.

--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -123,8 +123,15 @@
           finish(() => {});
           call.destroy();
         },
-        pause: () => void res?.pause(),
-        resume: () => void res?.resume(),
+        // Node pauses only sockets of its own for a response that is paused.
+        pause() {
+          res?.pause();
+          call.socket?.pause();
+        },
+        resume() {
+          call.socket?.resume();
+          res?.resume();
+        },
       };
     },
     close: () => {
--- a/packages/tunnels/src/reset-safe-stream.ts
+++ b/packages/tunnels/src/reset-safe-stream.ts
@@ -28,8 +28,12 @@
   let hasEnded = false;
   /** The write that waits for the connection; a stream has one at a time. */
   let whenOpen: ((opened: Socket) => void) | undefined;
+  /** Whether the reader takes more; otherwise the bytes stay at the sender. */
+  let isWanted = false;
+  let isReadPending = false;
   const stream = new Duplex({
     read() {
+      isWanted = true;
       readLater();
     },
     write(chunk: Buffer, encoding, done) {
@@ -52,17 +56,21 @@
   }
 
   function readLater(): void {
+    if (isReadPending || !isWanted) return;
+    isReadPending = true;
     setImmediate(() => {
+      isReadPending = false;
       const chunk = socket?.read() as Buffer | null | undefined;
       if (chunk) receive(chunk);
     });
   }
 
   function receive(chunk: Buffer): void {
-    if (frames === undefined) return void stream.push(chunk);
     if (hasEnded) return;
-    for (const bytes of frames.read(chunk)) stream.push(bytes);
-    if (frames.hasEnded()) endStream();
+    const payload = frames === undefined ? [chunk] : frames.read(chunk);
+    for (const bytes of payload) isWanted = stream.push(bytes);
+    if (frames?.hasEnded() === true) endStream();
+    else readLater();
   }
 
   function endStream(): void {
--- a/packages/tunnels/test/tunnels.test.ts
+++ b/packages/tunnels/test/tunnels.test.ts
@@ -232,6 +232,38 @@
   assert.equal(result.body.length, body.length);
 });
 
+const ENDLESS_BYTES = 64 * 1024 * 1024;
+/** Well above what the kernel buffers for two connections. */
+const MAX_UNREAD_BYTES = 32 * 1024 * 1024;
+
+for (const [name, openDirect] of [
+  ['directly', openSocket],
+  ['through another host', refuse],
+] as const)
+  test(`tunnels: bytes that are not read stay at the sender, ${name}`, async () => {
+    let sent = 0;
+    const endpoint = await startEndpoint(socket => {
+      const chunk = Buffer.alloc(65_536);
+      const fill = () => {
+        while (sent < ENDLESS_BYTES) {
+          sent += chunk.length;
+          if (!socket.write(chunk)) return;
+        }
+      };
+      socket.on('drain', fill);
+      fill();
+    });
+    const host = await startHost('b', [endpoint.address]);
+    const stream = dial([host], endpoint.address, openDirect);
+    stream.write('request');
+    await new Promise(done => stream.once('readable', done));
+    for (let before = -1; before < sent;) {
+      before = sent;
+      await new Promise(done => setTimeout(done, 100));
+    }
+    assert.ok(sent < MAX_UNREAD_BYTES, `${sent} bytes taken`);
+  });
+
 for (const [name, target] of [
   ['an address that is no endpoint', '127.0.0.1:9'],
   ['a line that is no request', 'nonsense'],
