Bound the work for a stream's bytes that are no event

What callers saw: engines in trouble sent the same token without end, each byte in a chunk of its own, or comments.

Cause: the splitter joined all bytes of an incomplete event with each new part and searched them again, quadratic work for parts of one byte. Comments passed its limit as complete events, and counted as a sign of life.

Change: bytes are searched once and kept in a growing buffer; 1,000 parts or 256 KiB of comments without an event end the attempt; comments are forwarded but are no events.

--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -1,6 +1,7 @@
 import type {EndpointId} from '@chivewick/common';
 import type {Stage} from '@chivewick/engines';
 import {UnreachableError} from '@chivewick/tunnels';
+import {createByteBuffer} from './byte-buffer.js';
 import type {PathRequest} from './choose-path.js';
 import {observeNotices} from './endpoint-notices.js';
 import type {EndpointState} from './endpoint-table.js';
@@ -39,10 +40,16 @@
 /** Prevents a check that is due from running in every turn of the event loop. */
 const MIN_TIMER_MS = 10;
 /**
- * Limit on a buffered error response and on one event; those of engines are short,
- * but an engine in trouble may send bytes until the connection is closed.
+ * Limit on a buffered error response, on one event and on comments without an event;
+ * those of engines are short, but an engine in trouble may send bytes until the
+ * connection is closed.
  */
 const MAX_BUFFERED_BYTES = 262_144;
+/**
+ * Parts in which one event may arrive. Each takes some microseconds, so that an event of
+ * `MAX_BUFFERED_BYTES` in parts of one byte would hold up all other requests.
+ */
+const MAX_EVENT_PARTS = 1_000;
 
 /** What the caller of a stream has received; shared by its attempts. */
 export interface StreamProgress {
@@ -113,8 +120,11 @@
     let attemptEvents = 0;
     let lastActivityMs = performance.now();
     let lastCheckMs = 0;
-    const errorChunks: Buffer[] = [];
-    let errorBytes = 0;
+    const errorBody = createByteBuffer();
+    /** Bytes of comments since the last event. */
+    let commentBytes = 0;
+    /** Parts of the body that have arrived since the last event. */
+    let parts = 0;
     const splitter = createEventSplitter();
     const replaced = new Set<EndpointId>();
     let silenceTimer: NodeJS.Timeout | undefined;
@@ -237,21 +247,31 @@
     }
 
     function data(chunk: Buffer): void {
+      parts += 1;
+      if (parts > MAX_EVENT_PARTS) return abandonOversized();
       if (status !== 200) {
-        errorBytes += chunk.length;
-        if (errorBytes > MAX_BUFFERED_BYTES) return abandonOversized();
-        return void errorChunks.push(chunk);
+        errorBody.append(chunk);
+        if (errorBody.length > MAX_BUFFERED_BYTES) abandonOversized();
+        return;
       }
       for (const event of splitter.push(chunk)) {
-        if (!isNext(event)) continue;
         if (ended) return;
+        if (isComment(event.bytes)) {
+          commentBytes += event.bytes.length;
+          if (commentBytes > MAX_BUFFERED_BYTES) return abandonOversized();
+          write(event.bytes);
+          continue;
+        }
+        if (!isNext(event)) continue;
+        commentBytes = 0;
+        parts = 0;
         forwardEvent(event.bytes, event.id);
       }
-      if (splitter.rest().length > MAX_BUFFERED_BYTES) abandonOversized();
+      if (splitter.restBytes() > MAX_BUFFERED_BYTES) abandonOversized();
     }
 
     function abandonOversized(): void {
-      const reason = `over ${MAX_BUFFERED_BYTES} bytes without an end`;
+      const reason = `over ${MAX_BUFFERED_BYTES} bytes or ${MAX_EVENT_PARTS} parts without an end`;
       abortWith({kind: 'broken', reason, suspect: first});
     }
 
@@ -259,12 +279,11 @@
      * Whether an event is the next one for the caller. A gap ends the attempt, and so do
      * bytes that are no event, such as the error page of an endpoint that has failed.
      */
-    function isNext({id, bytes}: StreamEvent): boolean {
+    function isNext({id}: StreamEvent): boolean {
       const lastId = progress.lastEventId;
       if (id === undefined) {
         const isExpected = lastId === undefined && !rule.resumable;
-        if (isExpected || isComment(bytes)) return true;
-        return endSequence('an event without an id');
+        return isExpected || endSequence('an event without an id');
       }
       if (lastId === undefined || id === lastId + 1) return true;
       return id > lastId && endSequence(`a gap before event ${id}`);
@@ -294,22 +313,25 @@
       if (attemptEvents === BEGUN_EVENTS) ctx.quarantine.succeeded(exchange);
       progress.lastEventMs = nowMs;
       lastActivityMs = nowMs;
-      if (!res.write(bytes)) {
-        paused = true;
-        call.pause();
-      }
+      write(bytes);
+    }
+
+    function write(bytes: Buffer): void {
+      if (res.write(bytes)) return;
+      paused = true;
+      call.pause();
     }
 
     function onResponseComplete(): void {
       if (status !== 200) {
-        const errorBody = Buffer.concat(errorChunks);
         if (res.headersSent) {
           const reason = `answered ${status} to a resumed stream`;
           return finish({kind: 'broken', reason, suspect: first});
         }
-        return finish({kind: 'answered', status, headers, body: errorBody});
+        const body = errorBody.take();
+        return finish({kind: 'answered', status, headers, body});
       }
-      if (splitter.rest().length > 0) {
+      if (splitter.restBytes() > 0) {
         return finish({
           kind: 'broken',
           reason: 'stream ended in the middle of an event',
--- a/packages/gateway/test/event-splitter.test.ts
+++ b/packages/gateway/test/event-splitter.test.ts
@@ -26,7 +26,32 @@
           [undefined, ': note\n\n'],
         ],
       );
-      assert.equal(splitter.rest().toString(), 'id: 3\ndata: c');
+      assert.equal(splitter.restBytes(), 'id: 3\ndata: c'.length);
     }),
   );
 });
+
+// Joining all chunks of an event with each new one took the thread for seconds.
+test('events: the work for an event without end grows with its bytes, not with their square', () => {
+  const splitter = createEventSplitter();
+  let copiedBytes = 0;
+  const {copy} = Buffer.prototype;
+  const {concat} = Buffer;
+  Buffer.prototype.copy = function (...args: Parameters<typeof copy>) {
+    const bytes = copy.apply(this, args);
+    copiedBytes += bytes;
+    return bytes;
+  };
+  Buffer.concat = (list, length) => {
+    const joined = concat(list, length);
+    copiedBytes += joined.length;
+    return joined;
+  };
+  try {
+    for (let n = 0; n < 50_000; n++) splitter.push(Buffer.from('x'));
+  } finally {
+    Buffer.prototype.copy = copy;
+    Buffer.concat = concat;
+  }
+  assert.ok(copiedBytes < 5 * 50_000, `${copiedBytes} bytes copied`);
+});
