--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,6 +2,7 @@
 import type {Dialer} from '@chivewick/tunnels';
 import type {RequestLimits} from '@chivewick/coordination';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {BufferedBytes} from './byte-buffer.js';
 import type {EndpointTable} from './endpoint-table.js';
 import type {GatewayMetrics} from './metrics.js';
 import type {Coordination} from './coordination/index.js';
@@ -48,6 +49,8 @@
   readonly metrics: GatewayMetrics;
   readonly random: Random;
   readonly log: Logger;
+  /** Bytes of responses to plain requests. */
+  readonly buffered: BufferedBytes;
   readonly coordination: Coordination;
   /** What endpoints have stated about the requests that they take. */
   readonly limits: RequestLimits;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
   type DirectPaths,
 } from '@chivewick/tunnels';
 import {createServer, type Server} from 'node:http';
+import {countBufferedBytes} from './byte-buffer.js';
 import {createCallerServer} from './caller-server.js';
 import {startCoordination} from './coordination/index.js';
 import {createEndpointTable, type EndpointTable} from './endpoint-table.js';
@@ -184,6 +185,7 @@
     metrics,
     random,
     log,
+    buffered: countBufferedBytes(),
     coordination,
     limits: coordination.limits,
     pipes,
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -2,6 +2,7 @@
 import {UnreachableError} from '@chivewick/tunnels';
 import {startResponse} from './responses.js';
 import {createAttempts} from './attempts.js';
+import {createByteBuffer} from './byte-buffer.js';
 import {chooseWithinLimits} from './choose-within-limits.js';
 import {
   acceptsRequests,
@@ -28,6 +29,18 @@
  * bytes until the connection is closed.
  */
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+/**
+ * Limit on the bytes of all responses that are buffered at the same time: a sixth of the
+ * memory of a small host. Responses of up to `SMALL_RESPONSE_BYTES` are not limited.
+ */
+const MAX_TOTAL_BYTES = 48 * 1024 * 1024;
+const SMALL_RESPONSE_BYTES = 65_536;
+/**
+ * Parts after which their mean size is checked. Each takes some microseconds, so that a
+ * long response in parts of one byte would hold up all other requests.
+ */
+const MAX_SMALL_PARTS = 1_000;
+const MIN_MEAN_PART_BYTES = 16;
 /** Twice `FULL_BACKOFF_MS`. */
 const RETRY_AFTER_MS = 300;
 
@@ -209,9 +222,11 @@
     let sent = false;
     let status = 0;
     let headers: Headers = {};
-    const chunks: Buffer[] = [];
+    const received = createByteBuffer();
     let receivedBytes = 0;
+    let parts = 0;
     const finish = (outcome: Outcome) => {
+      ctx.buffered.add(-receivedBytes);
       clearTimeout(timer);
       res.off('close', onCallerLeft);
       unsubscribe();
@@ -258,11 +273,13 @@
           observeNotices(ctx, state, responseFacts);
         },
         data(chunk) {
+          received.append(chunk);
           receivedBytes += chunk.length;
-          if (receivedBytes <= MAX_RESPONSE_BYTES)
-            return void chunks.push(chunk);
+          ctx.buffered.add(chunk.length);
+          parts += 1;
+          const reason = findExcess(receivedBytes, parts, ctx.buffered.total());
+          if (reason === undefined) return;
           call.abort();
-          const reason = `response over ${MAX_RESPONSE_BYTES} bytes`;
           finish({kind: 'unknown', reason});
         },
         ended: () => finish(classifyResponse()),
@@ -297,11 +314,26 @@
           reason: `unsigned response with status ${status}`,
         };
       }
-      return {kind: 'answer', status, headers, body: Buffer.concat(chunks)};
+      return {kind: 'answer', status, headers, body: received.take()};
     }
   });
 }
 
+/** Returns why a response is not read any further, otherwise undefined. */
+function findExcess(
+  bytes: number,
+  parts: number,
+  totalBytes: number,
+): string | undefined {
+  if (bytes > MAX_RESPONSE_BYTES)
+    return `response over ${MAX_RESPONSE_BYTES} bytes`;
+  if (bytes > SMALL_RESPONSE_BYTES && totalBytes > MAX_TOTAL_BYTES)
+    return `responses over ${MAX_TOTAL_BYTES} bytes in total`;
+  if (parts > MAX_SMALL_PARTS && bytes < MIN_MEAN_PART_BYTES * parts)
+    return `response in ${parts} parts`;
+  return undefined;
+}
+
 /** Updates the latency and health of an endpoint from the outcome of a request. */
 function updateEndpoint(
   ctx: ExchangeContext,
--- a/packages/gateway/test/endless-responses.test.ts
+++ b/packages/gateway/test/endless-responses.test.ts
@@ -11,10 +11,12 @@
   header,
   MODEL,
   record,
+  respond,
   route,
   sendRequest,
   startEndpoint,
   startHarness,
+  until,
   type Behavior,
 } from './harness.js';
 
@@ -59,10 +61,18 @@
   name: string;
   text: (head: string) => string;
   filler: string;
+  maxSentBytes?: number;
 }[] = [
   {name: 'a head', text: () => 'HTTP/1.1 200 OK\r\n', filler: 'x: y\r\n'},
   {name: 'a status line', text: () => 'HTTP/1.1 200 O', filler: 'K'},
   {name: 'a body', text: start('200 OK'), filler: 'x'},
+  {
+    name: 'a body in chunks of one byte',
+    text: start('200 OK', 'transfer-encoding: chunked\r\n'),
+    filler: '1\r\nx\r\n',
+    // Few chunks are read; the rest is in the buffers of the kernel.
+    maxSentBytes: 24 * 1024 * 1024,
+  },
   {name: 'an error', text: start('500 Internal Server Error'), filler: 'x'},
 ];
 
@@ -92,7 +102,7 @@
 }
 
 for (const kind of ['repeatable', 'once', 'stream'] as const)
-  for (const {name, text, filler} of CASES)
+  for (const {name, text, filler, maxSentBytes = MAX_SENT_BYTES} of CASES)
     test(`endless: ${name} to a request of kind ${kind}`, async () => {
       const sent = {bytes: 0, closed: false};
       const {port} = await startWith(endless(sent, text, filler), kind);
@@ -101,5 +111,44 @@
       });
       assert.equal(reply.status, 502);
       while (!sent.closed) await new Promise(done => setTimeout(done, 5));
-      assert.ok(sent.bytes < MAX_SENT_BYTES, `${sent.bytes} bytes taken`);
+      assert.ok(sent.bytes < maxSentBytes, `${sent.bytes} bytes taken`);
     });
+
+// Each comment is complete, so that the limit on one event does not apply.
+test('endless: comments after an event of a stream', async () => {
+  const sent = {bytes: 0, closed: false};
+  const head = start('200 OK');
+  const text = (request: string) => `${head(request)}id: 1\ndata: 1\n\n`;
+  const behavior = endless(sent, text, ': still here\n\n');
+  const {port} = await startWith(behavior, 'stream');
+  const reply = await sendRequest(port, {
+    headers: {'deadline-ms': PATIENT_MS},
+  });
+  assert.equal(reply.complete, false);
+  assert.match(reply.body, /^id: 1\n/);
+  while (!sent.closed) await new Promise(done => setTimeout(done, 5));
+  assert.ok(sent.bytes < MAX_SENT_BYTES, `${sent.bytes} bytes taken`);
+});
+
+test('endless: bodies to many requests at once do not add up, and small ones are served', async () => {
+  const body = 'x'.repeat(6 * 1024 * 1024);
+  const sends: Behavior = (socket, request) =>
+    void socket.write(start('200 OK')(request) + body);
+  const endpoint = await startEndpoint(sends);
+  const {port} = await startHarness({
+    config: config({routes: [route({kind: 'once'})]}),
+    records: [record('e1', endpoint.address)],
+  });
+  const send = (n: number) =>
+    sendRequest(port, {
+      headers: {'request-id': `q${n}`, 'deadline-ms': '2000'},
+    });
+  const replies = Array.from({length: 16}, (_, n) => send(n));
+  await until(() => endpoint.heads.length === replies.length);
+  endpoint.behavior = respond('small');
+  assert.equal((await send(replies.length)).body, 'small');
+  const statuses = (await Promise.all(replies)).map(({status}) => status);
+  // At most eight of them fit; those that do wait for their end until the deadline.
+  assert.ok(statuses.filter(status => status === 504).length <= 8);
+  assert.ok(statuses.filter(status => status === 502).length >= 8);
+});
