Answer every request of a stopping host, and take none that it cannot finish

What callers saw, at other operators: requests that came late in the grace period of a planned stop were taken, and cut with no answer at its end.

Cause: plain requests were taken until 2.5 s before the end, whatever time they may take, and what was in progress at the end was cut.

Change: a plain request is taken only if its deadline or its route's timeout ends before the host does, and is otherwise rejected at once as not run. What is left at the end gets 502, or 503 if it was not sent.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -57,6 +57,8 @@
   readonly pipes: PipeUsage;
   readonly quarantine: Quarantine;
   readonly dialer: Dialer;
+  /** Aborted when this host stops before the requests in progress are complete. */
+  readonly gaveUp: AbortSignal;
   /** Newest fencing number that this host knows. */
   fence(): number | undefined;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
   type Dialer,
   type DirectPaths,
 } from '@chivewick/tunnels';
+import {setMaxListeners} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import {countBufferedBytes} from './byte-buffer.js';
 import {createCallerServer} from './caller-server.js';
@@ -123,6 +124,9 @@
   const freshness = createFreshness();
   const metrics = createGatewayMetrics();
   const closing = new AbortController();
+  const givingUp = new AbortController();
+  // Each request in progress has a listener.
+  setMaxListeners(0, givingUp.signal);
   const {dialer, paths} = options;
   const upstream = createUpstream(dialer);
   let routing: Routing | undefined;
@@ -191,6 +195,7 @@
     pipes,
     quarantine: coordination.quarantine,
     dialer,
+    gaveUp: givingUp.signal,
     fence: options.fence,
   };
 
@@ -247,13 +252,14 @@
     routing: () => routing,
     confirm: () => configFollower.refresh(),
     stopping: () => gracefulStop.isStopping(),
-    accepts: kind => gracefulStop.accepts(kind),
+    accepts: (kind, durationMs) => gracefulStop.accepts(kind, durationMs),
   });
   const callers = createCallerServer({handle, log});
   const gracefulStop = createGracefulStop({
     callers,
     tunnels: () => tunnels?.running() ?? 0,
     bounds: options.bounds,
+    giveUp: () => givingUp.abort(),
     log,
   });
   const readiness = createServer((_req, res) => {
--- a/packages/gateway/src/handle-request.ts
+++ b/packages/gateway/src/handle-request.ts
@@ -55,8 +55,8 @@
   readonly confirm: () => void;
   /** Whether the host is stopping, so that callers should disconnect. */
   readonly stopping: () => boolean;
-  /** Whether a new request of a kind can still be completed before the stop. */
-  readonly accepts: (kind: RequestKind) => boolean;
+  /** Whether a new request can still be completed before the stop of this host. */
+  readonly accepts: (kind: RequestKind, durationMs: number) => boolean;
 }
 
 interface Admitted {
@@ -86,11 +86,7 @@
     let admission = await admit(options, req, facts);
     if (!admission.ok) return refuse(req, res, facts, admission.err, arrivedMs);
     const {rule: firstRule} = admission.value;
-    const timeoutMs = Math.min(
-      firstRule.timeoutMs,
-      facts.deadlineMs ?? firstRule.timeoutMs,
-    );
-    const deadlineAtMs = arrivedMs + timeoutMs;
+    const deadlineAtMs = arrivedMs + longestMs(firstRule, facts);
     const {limits} = options.routing()!.config;
     const body = await readBody(req, {
       maxBytes: limits.maxBodyBytes,
@@ -196,6 +192,11 @@
   }
 }
 
+/** Longest time that a request may take, in milliseconds. */
+function longestMs({timeoutMs}: RouteRule, {deadlineMs}: RequestFacts): number {
+  return Math.min(timeoutMs, deadlineMs ?? timeoutMs);
+}
+
 /** Returns the failure of a request that is invalid, otherwise undefined. */
 function validateRequest(
   body: Body,
@@ -257,7 +258,7 @@
           'no route matches in an outdated configuration',
         );
   }
-  if (!options.accepts(rule.kind)) {
+  if (!options.accepts(rule.kind, longestMs(rule, facts))) {
     return refusal('shutting_down', 'this host is shutting down');
   }
   let workspace: Workspace | undefined;
--- a/packages/gateway/src/responses.ts
+++ b/packages/gateway/src/responses.ts
@@ -1,4 +1,4 @@
-import {ERROR_RESPONSES, type Failure} from '@chivewick/common';
+import {ERROR_RESPONSES, failure, type Failure} from '@chivewick/common';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Headers} from './types.js';
 
@@ -76,3 +76,8 @@
     res.setHeader(name, value);
   }
 }
+
+/** The failure of a request that has not run and will not run on this host. */
+export function shuttingDown(): Failure {
+  return failure('shutting_down', 'this host is shutting down');
+}
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -1,6 +1,6 @@
 import {failure, type EndpointId, type Failure} from '@chivewick/common';
 import {UnreachableError} from '@chivewick/tunnels';
-import {startResponse} from './responses.js';
+import {shuttingDown, startResponse} from './responses.js';
 import {createAttempts} from './attempts.js';
 import {createByteBuffer} from './byte-buffer.js';
 import {chooseWithinLimits} from './choose-within-limits.js';
@@ -58,6 +58,7 @@
   /** `isDisconnected` is set if the endpoint ended the connection. */
   | {kind: 'unknown'; reason: string; isDisconnected?: boolean}
   | {kind: 'deadline'; sent: boolean}
+  | {kind: 'gave_up'; sent: boolean}
   | {kind: 'caller_left'};
 
 /**
@@ -77,6 +78,7 @@
     const leftMs = exchange.deadlineAtMs - performance.now();
     if (leftMs < MIN_REMAINING_MS)
       return failed(attempts.failure ?? deadlineTooClose());
+    if (ctx.gaveUp.aborted) return failed(attempts.failure ?? shuttingDown());
     if (ctx.quarantine.banOf(exchange) !== undefined)
       return failed(quarantined(attempts.runs));
     const usable = () => ctx.table.usable(service.name);
@@ -117,6 +119,10 @@
         failure('deadline_exceeded', 'no response before the deadline'),
       );
     }
+    if (outcome.kind === 'gave_up') {
+      if (!outcome.sent) return failed(attempts.failure ?? shuttingDown());
+      return failed(attempts.mayHaveRun('this host has stopped'));
+    }
     if (outcome.kind === 'answer') {
       const mayRepeat =
         rule.kind === 'repeatable' && attempts.runs + 1 < rule.maxEndpoints;
@@ -229,6 +235,7 @@
       ctx.buffered.add(-receivedBytes);
       clearTimeout(timer);
       res.off('close', onCallerLeft);
+      ctx.gaveUp.removeEventListener('abort', onGaveUp);
       unsubscribe();
       state.running -= 1;
       updateEndpoint(ctx, state, outcome, performance.now() - startMs);
@@ -242,7 +249,12 @@
       call.abort();
       finish({kind: 'deadline', sent});
     }, leftMs);
+    const onGaveUp = () => {
+      call.abort();
+      finish({kind: 'gave_up', sent});
+    };
     res.on('close', onCallerLeft);
+    ctx.gaveUp.addEventListener('abort', onGaveUp);
     // No response will arrive; a request that may be repeated goes another way.
     const unsubscribe = ctx.dialer.onLost(lost => {
       if (!sent || lost !== address || rule.kind !== 'repeatable') return;
@@ -347,7 +359,7 @@
     if (outcome.status < 500) state.consecutiveFailures = 0;
     return;
   }
-  if (outcome.kind === 'caller_left') return;
+  if (outcome.kind === 'caller_left' || outcome.kind === 'gave_up') return;
   if (outcome.kind === 'not_run' && outcome.full) {
     state.fullUntilMs = performance.now() + FULL_BACKOFF_MS;
     return;
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -1,6 +1,6 @@
 import {failure, pause, type EndpointId, type Failure} from '@chivewick/common';
 import type {Stage} from '@chivewick/engines';
-import {startResponse} from './responses.js';
+import {shuttingDown, startResponse} from './responses.js';
 import {createAttempts} from './attempts.js';
 import type {PathChoice, PathWork} from './coordination/index.js';
 import type {ExchangeResult, Exchange, ExchangeContext} from './exchange.js';
@@ -97,6 +97,9 @@
       if (leftMs < MIN_REMAINING_MS) {
         return failed(attempts.failure ?? deadlineTooClose());
       }
+      if (ctx.gaveUp.aborted) {
+        return failed(attempts.failure ?? shuttingDown());
+      }
       if (ctx.quarantine.banOf(exchange) !== undefined) {
         return failed(quarantined());
       }
@@ -193,6 +196,10 @@
       return {kind: 'served', status: 200, sends, stream: progress};
     }
     if (outcome.kind === 'caller_left') return callerLeft();
+    if (outcome.kind === 'gave_up') {
+      if (!outcome.sent) return failed(attempts.failure ?? shuttingDown());
+      return failed(attempts.mayHaveRun('this host has stopped'));
+    }
     if (outcome.kind === 'answered') {
       const mayRepeat = rule.resumable && attempts.runs + 1 < rule.maxEndpoints;
       if (outcome.status < 500 || !mayRepeat) return deliver(outcome);
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -80,6 +80,8 @@
   | {kind: 'complete'}
   | {kind: 'caller_left'}
   | {kind: 'deadline'}
+  /** This host stops. */
+  | {kind: 'gave_up'; sent: boolean}
   /** A signed response with a status other than 200. */
   | {kind: 'answered'; status: number; headers: Headers; body: Buffer}
   /** The request has not run. */
@@ -136,6 +138,7 @@
       clearTimeout(silenceTimer);
       res.off('close', onCallerLeft);
       res.off('drain', onDrain);
+      ctx.gaveUp.removeEventListener('abort', onGaveUp);
       unsubscribe();
       unsubscribeLost();
       resolve(outcome);
@@ -146,6 +149,7 @@
       finish(outcome);
     };
     const onCallerLeft = () => abortWith({kind: 'caller_left'});
+    const onGaveUp = () => abortWith({kind: 'gave_up', sent});
     const onDrain = () => {
       if (!paused) return;
       paused = false;
@@ -158,6 +162,7 @@
     );
     res.on('close', onCallerLeft);
     res.on('drain', onDrain);
+    ctx.gaveUp.addEventListener('abort', onGaveUp);
     const unsubscribe = ctx.table.onSuspected(state => {
       const silentMs = performance.now() - lastActivityMs;
       if (load.holds(state) && silentMs > SUSPECT_SILENCE_MS) void checkPath();
--- a/packages/gateway/test/stop-under-load.test.ts
+++ b/packages/gateway/test/stop-under-load.test.ts
@@ -6,8 +6,11 @@
 import {after, test} from 'node:test';
 import {
   closeHarnesses,
+  config,
+  MODEL,
   record,
   respond,
+  route,
   sendRequest,
   startEndpoint,
   startHarness,
@@ -96,10 +99,59 @@
     records: [record('e1', endpoint.address)],
   });
   const socket = (await open(tunnelsPort))!;
-  socket.write(`connect ${endpoint.address}\n`);
+  socket.write(`connect-framed ${endpoint.address}\n`);
   const response = exchange(socket, 'q1');
   await until(() => endpoint.heads.length > 0);
   const stopped = gateway.stop();
-  assert.match(await response, /^opened\nHTTP\/1.1 200[^]*done$/);
+  assert.match(await response, /^opened\n[^]{4}HTTP\/1.1 200[^]*done\0{4}$/);
   await stopped;
 });
+
+// The endpoint would still be at work when the process ends.
+for (const kind of ['once', 'repeatable'] as const)
+  test(`stop: a ${kind} request that may last longer than the stop is rejected, not cut off`, async () => {
+    const endpoint = await startEndpoint(() => {});
+    const {gateway, port} = await startHarness({
+      config: config({routes: [route({kind, timeoutMs: 3_000})]}),
+      records: [record('e1', endpoint.address)],
+      bounds: {graceMs: 4_500},
+    });
+    const stopped = gateway.stop();
+    await new Promise(done => setTimeout(done, 1_500));
+    const {status, complete, headers} = await sendRequest(port);
+    assert.deepEqual({status, complete}, {status: 503, complete: true});
+    assert.equal(headers['connection'], 'close');
+    assert.equal(endpoint.heads.length, 0);
+    await stopped;
+  });
+
+for (const kind of ['once', 'stream'] as const)
+  test(`stop: a ${kind} request that is not complete at the end is answered, not cut off`, async () => {
+    const endpoint = await startEndpoint(() => {});
+    const isStream = kind === 'stream';
+    const target = {service: MODEL, weight: 1};
+    const {gateway, port} = await startHarness({
+      config: config({
+        routes: [
+          route({
+            kind,
+            timeoutMs: 60_000,
+            ...(isStream && {targets: [target]}),
+          }),
+        ],
+      }),
+      records: [
+        record('e1', endpoint.address, {
+          ...(isStream && {service: MODEL}),
+          accelerator: 'card',
+          layers: {from: 0, to: 80},
+        }),
+      ],
+      bounds: {graceMs: 4_000},
+    });
+    const reply = sendRequest(port, {headers: {'deadline-ms': '60000'}});
+    await until(() => endpoint.heads.length === 1);
+    await gateway.stop();
+    const {status, complete} = await reply;
+    assert.deepEqual({status, complete}, {status: 502, complete: true});
+  });
