Count no crash against a request that has succeeded since

Cause: lookups of one thing are repetitions of one request. A request was banned after three crashes near it; its successes were not recorded.

Change: the success of a request that was near a crash is recorded and reported to the other hosts. It voids the crashes before it, and ends a ban.

--- a/packages/crash-evidence/src/crash-evidence.ts
+++ b/packages/crash-evidence/src/crash-evidence.ts
@@ -38,8 +38,14 @@
 export interface CrashEvidence {
   /** Records the crash of an endpoint while a request was about to begin there. */
   recordCrash(run: EndpointRun, request: SuspectRequest): void;
-  /** Records that a response with these parts was written. */
-  recordSuccess(parts: readonly Fingerprint[]): void;
+  /**
+   * Records that a response to a request with these parts was written. `request` is only
+   * called if crashes or bans are known.
+   */
+  recordSuccess(
+    parts: readonly Fingerprint[],
+    request?: () => Fingerprint,
+  ): void;
   /**
    * The fingerprint that keeps a request from being sent; undefined if it may be
    * sent. `request` is only called if a whole request is banned.
@@ -147,8 +153,9 @@
   function lastCrashAtMs(fingerprint: Fingerprint): number | undefined {
     let lastMs: number | undefined;
     for (const {atMs, requests} of crashes.values())
-      for (const {parts} of requests.values())
-        if (parts.includes(fingerprint)) lastMs = Math.max(lastMs ?? 0, atMs);
+      for (const {request, parts} of requests.values())
+        if (request === fingerprint || parts.includes(fingerprint))
+          lastMs = Math.max(lastMs ?? 0, atMs);
     return lastMs;
   }
 
@@ -203,6 +210,17 @@
     );
   }
 
+  /** The fingerprint of a request, if it is banned or was near a crash. */
+  function suspectedRequest(request?: () => Fingerprint): Fingerprint[] {
+    if (request === undefined) return [];
+    if (crashes.size === 0 && bans.size === 0) return [];
+    const fingerprint = request();
+    const isNear = [...crashes.values()].some(({requests}) =>
+      requests.has(fingerprint),
+    );
+    return isNear || bans.has(fingerprint) ? [fingerprint] : [];
+  }
+
   /** Bans what the evidence is sufficient for. */
   function evaluate(): void {
     evaluatedAtMs = now();
@@ -258,8 +276,10 @@
       evaluate();
       options.onChange();
     },
-    recordSuccess(parts) {
-      const changes = parts.map(part => addSuccess(part, now()));
+    recordSuccess(parts, request) {
+      const changes = [...parts, ...suspectedRequest(request)].map(
+        fingerprint => addSuccess(fingerprint, now()),
+      );
       if (!changes.includes(true)) return;
       evaluate();
       options.onChange();
@@ -282,7 +302,10 @@
       if (recent.length === 0 && bans.size === 0) return undefined;
       const near = new Set(
         recent.flatMap(({requests}) =>
-          [...requests.values()].flatMap(({parts}) => parts),
+          [...requests.values()].flatMap(({request, parts}) => [
+            request,
+            ...parts,
+          ]),
         ),
       );
       for (const fingerprint of bans.keys()) near.add(fingerprint);
--- a/packages/crash-evidence/src/find-cause.ts
+++ b/packages/crash-evidence/src/find-cause.ts
@@ -40,7 +40,7 @@
 /** What a cause is looked for in. */
 export interface KnownFacts {
   readonly crashes: readonly RecordedCrash[];
-  /** Time of the last success with a part. */
+  /** Time of the last success with a part, or of a request that was near a crash. */
   readonly successes: ReadonlyMap<Fingerprint, number>;
   readonly isBanned: (fingerprint: Fingerprint) => boolean;
   readonly nowMs: number;
@@ -153,7 +153,7 @@
 }
 
 /**
- * A request that was near several crashes. It was sent to each endpoint after the one
+ * A request that was near several crashes and has not succeeded since. It was sent to each endpoint after the one
  * before had crashed, so that the crashes need not be at different moments.
  */
 function findRequest(facts: KnownFacts): Fingerprint | undefined {
@@ -165,6 +165,8 @@
     for (const suspect of crash.requests.values()) {
       if (!likely.has(suspect) && !isSettled) continue;
       const {request} = suspect;
+      // What crashes endpoints does not succeed afterwards.
+      if ((facts.successes.get(request) ?? -Infinity) > crash.atMs) continue;
       const count =
         (counts.get(request) ?? 0) + 1 / minCrashes(suspect, likely);
       // The sum of five fifths may be just below 1.
--- a/packages/crash-evidence/test/crash-evidence.test.ts
+++ b/packages/crash-evidence/test/crash-evidence.test.ts
@@ -340,3 +340,42 @@
   assert.ok(report.crashes.length <= 16 && report.bans.length <= 128);
   assert.ok(JSON.stringify(report).length < 40_000);
 });
+
+// Lookups of one thing are repetitions of one request, and are near many crashes.
+test('crashes: a request that succeeds between crashes is not banned, on any host', () => {
+  const {evidence, clock, crashUnbegun} = start();
+  const other = start();
+  const lookup = () => request('lookup');
+  for (let n = 0; n < 8; n++) {
+    crashUnbegun(['lookup']);
+    clock.nowMs += 2_000;
+    evidence.recordSuccess([], lookup);
+    other.clock.nowMs = clock.nowMs;
+    other.evidence.merge(evidence.report()!);
+    clock.nowMs += 5_000;
+    assert.equal(isRejected(evidence, 'lookup'), false);
+    assert.equal(isRejected(other.evidence, 'lookup'), false);
+  }
+});
+
+test('crashes: a request that crashes endpoints is banned though others succeed', () => {
+  const {evidence, crashUnbegun} = start();
+  for (let n = 0; n < 3; n++) {
+    crashUnbegun(['deadly'], [`sound${n}`]);
+    evidence.recordSuccess([], () => request(`sound${n}`));
+  }
+  assert.equal(isRejected(evidence, 'deadly'), true);
+  assert.equal(isRejected(evidence, 'sound2'), false);
+});
+
+test('crashes: the success of a trial ends the ban of a request', () => {
+  const {evidence, clock, crashUnbegun} = start();
+  for (let n = 0; n < 3; n++) crashUnbegun(['lookup']);
+  assert.equal(isRejected(evidence, 'lookup'), true);
+  clock.nowMs += 4 * TRIAL_MS;
+  assert.equal(isRejected(evidence, 'lookup'), false);
+  evidence.recordSuccess([], () => request('lookup'));
+  assert.equal(isRejected(evidence, 'lookup'), false);
+  crashUnbegun(['lookup']);
+  assert.equal(isRejected(evidence, 'lookup'), false);
+});
--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -27,7 +27,7 @@
 export interface Quarantine {
   /** The fingerprint under which a request is banned, if it is. */
   banOf(exchange: SuspectExchange): Fingerprint | undefined;
-  /** Records that a response was written, so that its parts crash no endpoint. */
+  /** Records that a response was written, so that its request crashes no endpoint. */
   succeeded(exchange: SuspectExchange): void;
   /**
    * Records that an endpoint closed the connection of a request that had just begun or
@@ -79,7 +79,8 @@
   return {
     banOf: exchange =>
       evidence.banOf(partsOf(exchange), () => digestOf(exchange)),
-    succeeded: exchange => evidence.recordSuccess(partsOf(exchange)),
+    succeeded: exchange =>
+      evidence.recordSuccess(partsOf(exchange), () => digestOf(exchange)),
     async disconnected(exchange, state, hasBegun) {
       const {id: endpoint, address, startedAtMs} = state.record;
       // Another host is asked too: to one that is cut off, all endpoints look crashed.
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -126,6 +126,7 @@
     if (outcome.kind === 'answer') {
       const mayRepeat =
         rule.kind === 'repeatable' && attempts.runs + 1 < rule.maxEndpoints;
+      if (outcome.status < 500) ctx.quarantine.succeeded(exchange);
       if (outcome.status < 500 || !mayRepeat) {
         return deliver(exchange, outcome, sends);
       }
