Wait for an address that is in use instead of ending at the start

Change: all addresses are tried for up to 5 s. Another error, and an address that stays in use, are reported as before.

Evidence: bind.test.ts passes; it does not compile without the change. A run of host processes with a taken port was not made.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export * from './bind.js';
 export * from './bounded-logger.js';
 export * from './clock-mark.js';
 export * from './errors/index.js';
--- a/packages/gateway/src/coordination/datagrams.ts
+++ b/packages/gateway/src/coordination/datagrams.ts
@@ -1,5 +1,5 @@
-import type {Logger} from '@chivewick/common';
-import {createSocket} from 'node:dgram';
+import {bindWithRetry, type Logger} from '@chivewick/common';
+import {createSocket, type Socket} from 'node:dgram';
 import {
   isJSONRPCRequest,
   isJSONRPCRequests,
@@ -41,12 +41,7 @@
   handlers: Handlers,
   log: Logger,
 ): Promise<Datagrams> {
-  const socket = createSocket('udp4');
-  const [ip, port] = address.split(':');
-  await new Promise<void>((resolve, reject) => {
-    socket.once('error', reject);
-    socket.bind(Number(port), ip, resolve);
-  });
+  const socket = await bindWithRetry(() => bindSocket(address));
   const logFailure = (err: Error) =>
     log.event('coordinationFailed', {message: err.message});
   socket.on('error', logFailure);
@@ -102,6 +97,15 @@
   };
 }
 
+function bindSocket(address: string): Promise<Socket> {
+  const socket = createSocket('udp4');
+  const [ip, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    socket.once('error', reject);
+    socket.bind(Number(port), ip, () => resolve(socket));
+  });
+}
+
 /** Returns undefined for anything but a JSON object; anyone may send datagrams. */
 function parse(bytes: Buffer): object | undefined {
   try {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,9 @@
-import {createRandom, type EndpointId, type Logger} from '@chivewick/common';
+import {
+  bindWithRetry,
+  createRandom,
+  type EndpointId,
+  type Logger,
+} from '@chivewick/common';
 import {
   nameOfKey,
   type ObjectFeed,
@@ -354,8 +359,11 @@
 
 function listen(server: Server, address: string): Promise<void> {
   const [ip, port] = address.split(':');
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(Number(port), ip, 511, resolve);
-  });
+  return bindWithRetry(
+    () =>
+      new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen(Number(port), ip, 511, resolve);
+      }),
+  );
 }
--- a/packages/peers/src/create-peers.ts
+++ b/packages/peers/src/create-peers.ts
@@ -1,6 +1,7 @@
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 import {JSONRPCServer} from 'json-rpc-2.0';
 import {
+  bindWithRetry,
   createSilentLogger,
   fail,
   failure,
@@ -133,7 +134,7 @@
     timer.unref();
     return undefined;
   });
-  await listen(server, options.listen);
+  await bindWithRetry(() => listen(server, options.listen));
   const dialler = createDialler(establish);
   const idleTimer = setInterval(
     () => links.closeIdle(),
--- a/packages/tunnels/src/tunnel-server.ts
+++ b/packages/tunnels/src/tunnel-server.ts
@@ -1,3 +1,4 @@
+import {bindWithRetry} from '@chivewick/common';
 import {createServer, type Server, type Socket} from 'node:net';
 import {createFrameWriter} from './frames.js';
 import {formatReply, parseRequest, type REPLIES} from './protocol.js';
@@ -92,8 +93,11 @@
 
 function listen(server: Server, address: string): Promise<void> {
   const [ip, port] = address.split(':');
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(Number(port), ip, resolve);
-  });
+  return bindWithRetry(
+    () =>
+      new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen(Number(port), ip, resolve);
+      }),
+  );
 }
