Pass on the last bytes of an ended connection, in parts of 4 KiB

Two faults of the wrapper of connections. It is rewritten as one queue, so that both go in together.

The first came with: when the connection had ended while its reader was paused, the wrapper was destroyed with the bytes that the reader had not taken, so that a whole response to a slow caller was broken off. The wrapper now stays until its reader has taken them. The test "reaches a slow reader whole" of tunnels.test.ts did not end within 40 s on the code before.

--- a/packages/tunnels/src/reset-safe-stream.ts
+++ b/packages/tunnels/src/reset-safe-stream.ts
@@ -2,6 +2,12 @@
 import {Duplex} from 'node:stream';
 import type {FrameReader} from './frames.js';
 
+/**
+ * Bytes that are passed on in one turn of the event loop. The reader may take some
+ * microseconds for each byte, as Node's HTTP parser does for chunks of one byte.
+ */
+const MAX_PART_BYTES = 4_096;
+
 /** A connection to an endpoint, or through another host to one. */
 export interface Connection {
   readonly socket: Socket;
@@ -24,6 +30,10 @@
 export function createResetSafeStream(opening: Promise<Connection>): Duplex {
   let socket: Socket | undefined;
   let frames: FrameReader | undefined;
+  /** Bytes that have been read and not been passed on yet. */
+  const queue: Buffer[] = [];
+  /** Whether the connection has ended. */
+  let hasSocketEnded = false;
   /** Whether the other end has sent everything. */
   let hasEnded = false;
   /** The write that waits for the connection; a stream has one at a time. */
@@ -60,28 +70,37 @@
     isReadPending = true;
     setImmediate(() => {
       isReadPending = false;
-      const chunk = socket?.read() as Buffer | null | undefined;
-      if (chunk) receive(chunk);
+      if (queue.length === 0) readChunk();
+      passOn();
     });
   }
 
-  function receive(chunk: Buffer): void {
-    if (hasEnded) return;
-    const payload = frames === undefined ? [chunk] : frames.read(chunk);
-    for (const bytes of payload) isWanted = stream.push(bytes);
-    if (frames?.hasEnded() === true) endStream();
-    else readLater();
+  function readChunk(): void {
+    const chunk = socket?.read() as Buffer | null | undefined;
+    if (!chunk) return;
+    for (const bytes of frames?.read(chunk) ?? [chunk])
+      for (let at = 0; at < bytes.length; at += MAX_PART_BYTES)
+        queue.push(bytes.subarray(at, at + MAX_PART_BYTES));
   }
 
-  function endStream(): void {
-    hasEnded = true;
-    stream.push(null);
+  function passOn(): void {
+    if (hasEnded || stream.destroyed) return;
+    const part = queue.shift();
+    if (part !== undefined) isWanted = stream.push(part);
+    if (queue.length > 0) return readLater();
+    if (frames === undefined ? hasSocketEnded : frames.hasEnded()) {
+      hasEnded = true;
+      stream.push(null);
+      return;
+    }
+    if (hasSocketEnded)
+      stream.destroy(new Error('tunnel closed before the end of the response'));
+    else if (part !== undefined) readLater();
   }
 
   function onSocketEnd(): void {
-    if (hasEnded) return;
-    if (frames === undefined) return endStream();
-    stream.destroy(new Error('tunnel closed before the end of the response'));
+    hasSocketEnded = true;
+    if (queue.length === 0) passOn();
   }
 
   function attach(connection: Connection): void {
@@ -91,7 +110,10 @@
     opened.on('readable', readLater);
     opened.once('end', onSocketEnd);
     opened.on('error', err => stream.destroy(err));
-    opened.once('close', () => stream.destroy());
+    // After its end, the reader may still have to take the last bytes.
+    opened.once('close', () => {
+      if (!hasSocketEnded) stream.destroy();
+    });
     stream.emit('connect');
     whenOpen?.(opened);
     readLater();
--- a/packages/tunnels/test/tunnels.test.ts
+++ b/packages/tunnels/test/tunnels.test.ts
@@ -264,6 +264,24 @@
     assert.ok(sent < MAX_UNREAD_BYTES, `${sent} bytes taken`);
   });
 
+for (const [name, openDirect] of [
+  ['directly', openSocket],
+  ['through another host', refuse],
+] as const)
+  test(`tunnels: a response whose connection has ended reaches a slow reader whole, ${name}`, async () => {
+    const body = 'x'.repeat(60_000);
+    const endpoint = await startEndpoint(socket => socket.end(body));
+    const host = await startHost('b', [endpoint.address]);
+    const stream = dial([host], endpoint.address, openDirect);
+    stream.write('request');
+    await new Promise(done => stream.once('readable', done));
+    await new Promise(done => setTimeout(done, 200));
+    let received = 0;
+    stream.on('data', (chunk: Buffer) => (received += chunk.length));
+    await new Promise(done => stream.once('end', done).once('error', done));
+    assert.equal(received, body.length);
+  });
+
 for (const [name, target] of [
   ['an address that is no endpoint', '127.0.0.1:9'],
   ['a line that is no request', 'nonsense'],
