--- a/packages/common/src/log-events/gateway.ts
+++ b/packages/common/src/log-events/gateway.ts
@@ -116,6 +116,11 @@
     level: 'info',
     message: 'request rejected because requests like it crash endpoints',
   },
+  crashNotCounted: {
+    number: 1044,
+    level: 'info',
+    message: 'request that had not really begun ended without a known crash',
+  },
   linesDropped: {
     number: 1040,
     level: 'warn',
--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -86,11 +86,15 @@
       const {id: endpoint, address, startedAtMs} = state.record;
       // The end of a leaving endpoint is planned.
       if (isLeaving(state)) return;
-      // Another host is asked too: to one that is cut off, all endpoints look crashed.
-      if (!(await options.dialer.isDown(address))) return;
       const request = digestOf(exchange);
       const parts = partsOf(exchange);
       const suspect = {request, hasBegun, parts};
+      // Another host is asked too: to one that is cut off, all endpoints look crashed.
+      if (!(await options.dialer.isDown(address))) {
+        const reason = 'accepts connections';
+        log.event('crashNotCounted', {endpoint, startedAtMs, reason, request});
+        return;
+      }
       log.event('crashRecorded', {endpoint, startedAtMs, ...suspect});
       evidence.recordCrash(
         id<EndpointRun>(`${endpoint}@${startedAtMs}`),
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -170,11 +170,17 @@
 
   /** Records what may have crashed an endpoint, before the request is sent again. */
   async function recordCrash(outcome: StreamAttemptOutcome): Promise<void> {
-    if (outcome.kind !== 'broken' || outcome.disconnected === undefined) return;
+    if (outcome.kind !== 'broken' || outcome.suspect === undefined) return;
     // Events of several attempts prove nothing: each endpoint may have sent one before
     // it crashed.
     const hasBegun = progress.attemptEvents >= BEGUN_EVENTS;
-    if (hasBegun || outcome.suspect === undefined) return;
+    if (hasBegun) return;
+    if (outcome.disconnected === undefined) {
+      const {id: endpoint, startedAtMs} = outcome.suspect.record;
+      const {reason} = outcome;
+      ctx.log.event('crashNotCounted', {endpoint, startedAtMs, reason});
+      return;
+    }
     await ctx.quarantine.disconnected(
       exchange,
       outcome.suspect,
