Write the bundle of the host program whole

Cause: two runs of the soak that start in the same second build the same files; seven hosts of one run read half a bundle and ended at their start (exit code 0), which its check reports as FAULT. Change: the build writes to temporary files, which it renames.

--- a/scripts/build-host.mjs
+++ b/scripts/build-host.mjs
@@ -1,5 +1,11 @@
 import {build} from 'esbuild';
-import {readdirSync, existsSync} from 'node:fs';
+import {
+  existsSync,
+  mkdirSync,
+  readdirSync,
+  renameSync,
+  writeFileSync,
+} from 'node:fs';
 import {resolve} from 'node:path';
 
 // Bundles the host program of the platform into target/. Packages are taken from
@@ -12,7 +18,7 @@
       resolve('packages', name, 'src/index.ts'),
     ]),
 );
-const {metafile} = await build({
+const {metafile, outputFiles} = await build({
   entryPoints: {'chivewick-host': 'platform/src/start.ts'},
   outdir: 'target',
   outExtension: {'.js': '.mjs'},
@@ -27,6 +33,7 @@
   minifySyntax: true,
   minifyWhitespace: true,
   metafile: true,
+  write: false,
   alias,
   // CommonJS dependencies load Node's own modules with require.
   banner: {
@@ -34,6 +41,14 @@
   },
 });
 
+// A host that starts during another build must not read half a file.
+mkdirSync('target', {recursive: true});
+for (const {path, contents} of outputFiles) {
+  const temporary = `${path}.${process.pid}`;
+  writeFileSync(temporary, contents);
+  renameSync(temporary, path);
+}
+
 if (process.argv.includes('--sizes')) {
   const sizes = Object.values(metafile.outputs)
     .flatMap(output => Object.entries(output.inputs))
