Notice crashes of engines that listen again at once or fall silent first

Cause, in three forms of one class, a verdict that is asked for once and too early: - A closed connection counted as a crash if the engine refused the next one. One that listens again by then counted as alive. It is now asked when it started, and a new entry under its id or at its address shows the same. - A stream that was given up at a silent engine left no suspect for the engine's end seconds later. Engines are now watched for 10 s after that (RunWatch), also where the caller leaves. - After the pause of a suspicion each host let a request through every 500 ms, before the first crash was known. One that is let through now keeps the others of all hosts back until it succeeds, crashes an endpoint or ends; five crashes over more than a second that a part explains prove it without a pause. A success after the engine fell silent counts for what was on it (silentMs).

--- a/packages/crash-evidence/src/ban-table.ts
+++ b/packages/crash-evidence/src/ban-table.ts
@@ -35,10 +35,13 @@
 const TRIAL_MS = 60_000;
 const MAX_TRIAL_DOUBLINGS = 6;
 /**
- * Time between requests that a host lets through after the pause, until one of them
- * succeeds: a crash is known everywhere by then.
+ * Time after a request that was let through in which no host lets another one through,
+ * unless that one has ended. An engine may be silent for seconds before it crashes: with
+ * less, all hosts tried in turn before the first crash was known.
  */
-const SUSPECTED_TRIAL_MS = 500;
+const TRIAL_OUTCOME_MS = 10_000;
+/** Time between such requests of a host that end without having shown anything. */
+const TRIAL_INTERVAL_MS = 500;
 const MAX_BANS = 128;
 
 /** What is known when a ban begins. */
@@ -46,6 +49,8 @@
   /** Separate crashes. */
   readonly crashes: number;
   readonly lastCrashAtMs: number;
+  /** When a request was let through whose outcome is not known. */
+  readonly triedAtMs?: number;
 }
 
 /** Suspected and proven fingerprints. */
@@ -56,15 +61,25 @@
   add(fingerprint: Fingerprint, start: BanStart): void;
   /** Adds a ban, or what is newer in it; returns whether it was not known. */
   merge(fingerprint: Fingerprint, start: BanStart): boolean;
-  /** Counts a crash if the fingerprint is banned. */
-  addCrash(fingerprint: Fingerprint, atMs: number): void;
+  /**
+   * Counts a crash if the fingerprint is banned.
+   *
+   * @param lastSeenMs when the endpoint was last known to work on the request.
+   */
+  addCrash(fingerprint: Fingerprint, atMs: number, lastSeenMs: number): void;
+  /** Counts all crashes so far as separate ones. */
+  prove(fingerprint: Fingerprint): void;
   /** Ends a ban whose last crash was before a success; returns whether there was one. */
   endBefore(fingerprint: Fingerprint, successAtMs: number): boolean;
   remove(fingerprint: Fingerprint): void;
   /** Drops suspicions whose last crash is older than a time. */
   dropSuspicions(beforeMs: number): void;
-  /** Why requests with a fingerprint are rejected now; may let one through. */
+  /** Why a request with a fingerprint must not be sent now. */
   rejectionBy(fingerprint: Fingerprint): Rejection | undefined;
+  /** Notes that a request with a fingerprint is let through, which keeps others back. */
+  startTrial(fingerprint: Fingerprint): void;
+  /** Ends the trial of this host, which has shown nothing. */
+  endTrial(fingerprint: Fingerprint): void;
   list(): Ban[];
 }
 
@@ -74,7 +89,10 @@
   /** When the last of the separate crashes began. */
   separateAtMs: number;
   lastCrashAtMs: number;
+  /** When a host last let a request through whose outcome is not known. */
   triedAtMs: number;
+  /** When such a request of this host last ended without having shown anything. */
+  endedAtMs: number;
 }
 
 /**
@@ -106,7 +124,8 @@
       crashes,
       separateAtMs: lastCrashAtMs,
       lastCrashAtMs,
-      triedAtMs: -Infinity,
+      triedAtMs: start.triedAtMs ?? -Infinity,
+      endedAtMs: -Infinity,
     });
     dropOldest(bans, MAX_BANS);
     options.onBan?.({fingerprint, crashes, msAgo: now() - lastCrashAtMs});
@@ -154,6 +173,7 @@
         add(fingerprint, start);
         return true;
       }
+      known.triedAtMs = Math.max(known.triedAtMs, start.triedAtMs ?? -Infinity);
       // The same crash seems younger by the time that its report was on the way.
       if (start.crashes <= known.crashes) return false;
       known.crashes = start.crashes;
@@ -161,15 +181,21 @@
       known.lastCrashAtMs = start.lastCrashAtMs;
       return false;
     },
-    addCrash(fingerprint, atMs) {
+    addCrash(fingerprint, atMs, lastSeenMs) {
       const entry = bans.get(fingerprint);
       if (entry === undefined) return;
       entry.lastCrashAtMs = Math.max(entry.lastCrashAtMs, atMs);
-      // Only a crash after the pause is that of a request that was let through.
-      if (atMs - entry.separateAtMs < suspectedMs(entry.crashes)) return;
+      if (lastSeenMs >= entry.triedAtMs) entry.triedAtMs = -Infinity;
+      // Only a request that was sent after the pause was let through.
+      if (lastSeenMs - entry.separateAtMs < suspectedMs(entry.crashes)) return;
       entry.crashes += 1;
       entry.separateAtMs = atMs;
     },
+    prove(fingerprint) {
+      const entry = bans.get(fingerprint);
+      if (entry === undefined) return;
+      entry.crashes = Math.max(entry.crashes, PROVEN_CRASHES_IF_ALL);
+    },
     endBefore(fingerprint, successAtMs) {
       const entry = bans.get(fingerprint);
       if (entry === undefined || successAtMs <= entry.lastCrashAtMs)
@@ -187,27 +213,37 @@
       if (entry === undefined) return undefined;
       const proven = isProven(fingerprint, entry);
       const waitMs = pauseMs(fingerprint, entry, proven);
-      const sinceCrashMs = now() - entry.lastCrashAtMs;
-      const sinceTrialMs = now() - entry.triedAtMs;
-      let leftMs = Math.max(
-        waitMs - sinceCrashMs,
-        (proven ? waitMs : SUSPECTED_TRIAL_MS) - sinceTrialMs,
+      const outcomeMs = proven ? waitMs : TRIAL_OUTCOME_MS;
+      const freeAtMs = Math.max(
+        entry.lastCrashAtMs + waitMs,
+        entry.triedAtMs + outcomeMs,
+        entry.endedAtMs + TRIAL_INTERVAL_MS,
       );
+      let leftMs = freeAtMs - now();
       if (leftMs <= 0) {
         const rank = options.trialRank(fingerprint);
         const stepsMs = TRIAL_STEP_MS * Math.min(rank, MAX_TRIAL_STEPS);
-        leftMs = proven && rank > 0 ? waitMs : waitMs + stepsMs - sinceCrashMs;
+        leftMs = proven && rank > 0 ? waitMs : leftMs + stepsMs;
       }
-      if (leftMs > 0)
-        return {fingerprint, isProven: proven, retryAfterMs: leftMs};
-      entry.triedAtMs = now();
-      return undefined;
+      if (leftMs <= 0) return undefined;
+      return {fingerprint, isProven: proven, retryAfterMs: leftMs};
+    },
+    startTrial(fingerprint) {
+      const entry = bans.get(fingerprint);
+      if (entry !== undefined) entry.triedAtMs = now();
+    },
+    endTrial(fingerprint) {
+      const entry = bans.get(fingerprint);
+      if (entry === undefined) return;
+      entry.triedAtMs = -Infinity;
+      entry.endedAtMs = now();
     },
     list: () =>
-      [...bans].map(([fingerprint, {crashes, lastCrashAtMs}]) => ({
+      [...bans].map(([fingerprint, {crashes, lastCrashAtMs, triedAtMs}]) => ({
         fingerprint,
         crashes,
         msAgo: now() - lastCrashAtMs,
+        ...(triedAtMs === -Infinity ? {} : {triedMsAgo: now() - triedAtMs}),
       })),
   };
 }
--- a/packages/crash-evidence/src/crash-evidence.ts
+++ b/packages/crash-evidence/src/crash-evidence.ts
@@ -3,6 +3,7 @@
 import {
   findCause,
   isExplained,
+  lastSeenMs,
   SETTLE_MS,
   type RecordedCrash,
 } from './find-cause.js';
@@ -28,6 +29,12 @@
  * is longer than one disruption takes.
  */
 const SEPARATE_MS = 1_000;
+/**
+ * Crashes over at least that time which prove fingerprints that explain all of late, also
+ * without a pause between them: engines that are silent before they end crash in a row
+ * after the first ban.
+ */
+const MIN_PROVING = 5;
 
 // Bounds on the memory and on the size of a report, which has to fit a datagram.
 const MAX_CRASHES = 128;
@@ -53,10 +60,17 @@
    * Why a request must not be sent now; undefined if it may be sent. `request` is only
    * called if a whole request is banned.
    */
+  expectRejection(
+    parts: readonly Fingerprint[],
+    request: () => Fingerprint,
+  ): Rejection | undefined;
+  /** The same for a request that is sent if it is not rejected. */
   rejectionOf(
     parts: readonly Fingerprint[],
     request: () => Fingerprint,
   ): Rejection | undefined;
+  /** Ends the wait for a request that was let through and has shown nothing. */
+  endTrial(fingerprint: Fingerprint): void;
   /** What other hosts should know; undefined if there is nothing. */
   report(): EvidenceReport | undefined;
   merge(report: EvidenceReport): void;
@@ -68,6 +82,8 @@
   readonly onChange: () => void;
   readonly onBan?: (ban: Ban) => void;
   readonly onUnban?: (fingerprint: Fingerprint) => void;
+  /** Called by `rejectionOf` for a request that is let through in spite of a ban. */
+  readonly onTrial?: (fingerprint: Fingerprint) => void;
   /**
    * Position of this host among those of the fleet that may let a request with a
    * fingerprint through; 0 on one host.
@@ -130,7 +146,7 @@
     }
     requests.set(suspect.request, suspect);
     for (const fingerprint of [suspect.request, ...suspect.parts])
-      bans.addCrash(fingerprint, crash.atMs);
+      bans.addCrash(fingerprint, crash.atMs, lastSeenMs(crash, suspect));
     return true;
   }
 
@@ -222,9 +238,27 @@
         isBanned: fingerprint => bans.has(fingerprint),
         nowMs: evaluatedAtMs,
       });
-      if (cause === undefined) return clearExplained();
+      if (cause === undefined) break;
       suspect(cause);
     }
+    clearExplained();
+    proveRepeated();
+  }
+
+  /** Proves the bans that explain all crashes of late, where these are many. */
+  function proveRepeated(): void {
+    const repeated = bans.fingerprints().filter(fingerprint => {
+      const nearMs = [...crashes.values()]
+        .filter(crash => isNear(crash, fingerprint))
+        .map(({atMs}) => atMs);
+      const spanMs = Math.max(...nearMs) - Math.min(...nearMs);
+      return nearMs.length >= MIN_PROVING && spanMs >= SEPARATE_MS;
+    });
+    for (const fingerprint of repeated) {
+      const lastMs = lastCrashAtMs(fingerprint);
+      if (lastMs !== undefined && explainsAll(fingerprint, repeated, lastMs))
+        bans.prove(fingerprint);
+    }
   }
 
   /** Whether a fingerprint and others explain all crashes of late. */
@@ -246,15 +280,43 @@
   }
 
   /** Takes over another host's ban; returns whether it was not known. */
-  function mergeBan({fingerprint, crashes: count, msAgo}: Ban): boolean {
+  function mergeBan(ban: Ban): boolean {
+    const {fingerprint, crashes: count, msAgo, triedMsAgo} = ban;
     const lastCrashAtMs = now() - msAgo;
+    const triedAtMs = triedMsAgo === undefined ? undefined : now() - triedMsAgo;
     if (!bans.has(fingerprint)) {
       const isCleared =
         (successes.get(fingerprint) ?? -Infinity) > lastCrashAtMs ||
         (isRequestFingerprint(fingerprint) && isInnocent(fingerprint));
       if (isCleared) return false;
     }
-    return bans.merge(fingerprint, {crashes: count, lastCrashAtMs});
+    return bans.merge(fingerprint, {
+      crashes: count,
+      lastCrashAtMs,
+      triedAtMs,
+    });
+  }
+
+  /** The banned fingerprints of a request. */
+  function bannedOf(
+    parts: readonly Fingerprint[],
+    request: () => Fingerprint,
+  ): Fingerprint[] {
+    const banned = parts.filter(part => bans.has(part));
+    if (!bans.fingerprints().some(isRequestFingerprint)) return banned;
+    return bans.has(request()) ? [...banned, request()] : banned;
+  }
+
+  function expectRejection(
+    parts: readonly Fingerprint[],
+    request: () => Fingerprint,
+  ): Rejection | undefined {
+    if (evaluatedAtMs < settledAtMs && now() >= settledAtMs) evaluate();
+    for (const fingerprint of bannedOf(parts, request)) {
+      const rejection = bans.rejectionBy(fingerprint);
+      if (rejection !== undefined) return rejection;
+    }
+    return undefined;
   }
 
   return {
@@ -271,15 +333,19 @@
       evaluate();
       options.onChange();
     },
+    expectRejection,
     rejectionOf(parts, request) {
-      if (evaluatedAtMs < settledAtMs && now() >= settledAtMs) evaluate();
-      for (const part of parts) {
-        const rejection = bans.rejectionBy(part);
-        if (rejection !== undefined) return rejection;
+      const rejection = expectRejection(parts, request);
+      if (rejection !== undefined) return rejection;
+      const trials = bannedOf(parts, request);
+      for (const fingerprint of trials) {
+        bans.startTrial(fingerprint);
+        options.onTrial?.(fingerprint);
       }
-      if (!bans.fingerprints().some(isRequestFingerprint)) return undefined;
-      return bans.rejectionBy(request());
+      if (trials.length > 0) options.onChange();
+      return undefined;
     },
+    endTrial: fingerprint => bans.endTrial(fingerprint),
     report() {
       const atMs = now();
       const recent = newestThatFit(
--- a/packages/crash-evidence/src/find-cause.ts
+++ b/packages/crash-evidence/src/find-cause.ts
@@ -105,9 +105,11 @@
   const ordered = [...facts.crashes].sort((a, b) => a.atMs - b.atMs);
   for (const crash of ordered) {
     if (isExplained(crash, facts.isBanned)) continue;
-    for (const {request, parts} of suspects(crash, facts.nowMs))
+    for (const suspect of suspects(crash, facts.nowMs)) {
+      const {request, parts} = suspect;
       for (const [depth, part] of parts.entries()) {
-        if ((facts.successes.get(part) ?? -Infinity) > crash.atMs) continue;
+        if (hasSucceededSince(facts, part, lastSeenMs(crash, suspect)))
+          continue;
         const known = records.get(part);
         const record = known ?? {
           requests: new Set(),
@@ -126,6 +128,7 @@
         }
         record.depth = Math.max(record.depth, depth);
       }
+    }
   }
   return records;
 }
@@ -163,7 +166,8 @@
       if (!likely.has(suspect) && !isSettled) continue;
       const {request} = suspect;
       // What crashes endpoints does not succeed afterwards.
-      if ((facts.successes.get(request) ?? -Infinity) > crash.atMs) continue;
+      if (hasSucceededSince(facts, request, lastSeenMs(crash, suspect)))
+        continue;
       const count =
         (counts.get(request) ?? 0) + 1 / minCrashes(suspect, likely);
       // The sum of five fifths may be just below 1.
@@ -174,6 +178,22 @@
   return undefined;
 }
 
+/** When an endpoint that crashed was last known to work on a request. */
+export function lastSeenMs(
+  {atMs}: Pick<RecordedCrash, 'atMs'>,
+  {silentMs = 0}: SuspectRequest,
+): number {
+  return atMs - silentMs;
+}
+
+function hasSucceededSince(
+  {successes}: KnownFacts,
+  fingerprint: Fingerprint,
+  atMs: number,
+): boolean {
+  return (successes.get(fingerprint) ?? -Infinity) > atMs;
+}
+
 /** Crashes such as this one after which a request is banned. */
 function minCrashes(
   suspect: SuspectRequest,
--- a/packages/crash-evidence/src/parse-report.ts
+++ b/packages/crash-evidence/src/parse-report.ts
@@ -16,19 +16,27 @@
   const isValid =
     isListOf(crashes, isCrash) &&
     isListOf(successes, isDated) &&
-    isListOf(bans, ban => isDated(ban) && isDuration(fieldsOf(ban)['crashes']));
+    isListOf(bans, isBan);
   return isValid ? (value as EvidenceReport) : undefined;
 }
 
 function isCrash(value: unknown): boolean {
   const {run, requests, msAgo} = fieldsOf(value);
   const isSuspect = (suspect: unknown) =>
+    isOptionalDuration(fieldsOf(suspect)['silentMs']) &&
     isText(fieldsOf(suspect)['request']) &&
     typeof fieldsOf(suspect)['hasBegun'] === 'boolean' &&
     isListOf(fieldsOf(suspect)['parts'], isText);
   return isText(run) && isDuration(msAgo) && isListOf(requests, isSuspect);
 }
 
+function isBan(value: unknown): boolean {
+  const {crashes, triedMsAgo} = fieldsOf(value);
+  return (
+    isDated(value) && isDuration(crashes) && isOptionalDuration(triedMsAgo)
+  );
+}
+
 function isDated(value: unknown): boolean {
   const {fingerprint, msAgo} = fieldsOf(value);
   return isText(fingerprint) && isDuration(msAgo);
@@ -46,6 +54,10 @@
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
 
+function isOptionalDuration(value: unknown): boolean {
+  return value === undefined || isDuration(value);
+}
+
 function isListOf(value: unknown, isItem: (item: unknown) => boolean): boolean {
   return Array.isArray(value) && value.every(isItem);
 }
--- a/packages/crash-evidence/src/types.ts
+++ b/packages/crash-evidence/src/types.ts
@@ -14,6 +14,11 @@
   readonly hasBegun: boolean;
   /** Parts that it shares with other requests, the most specific last. */
   readonly parts: readonly Fingerprint[];
+  /**
+   * Time for which the endpoint had been silent to it when the crash was noticed, in
+   * milliseconds; 0 if absent.
+   */
+  readonly silentMs?: number;
 }
 
 /** A crash of an endpoint, with the requests that may have caused it. */
@@ -40,6 +45,8 @@
   readonly crashes: number;
   /** Age of the last one at the time of the report, in milliseconds. */
   readonly msAgo: number;
+  /** Age of the last request that was let through and whose outcome is not known. */
+  readonly triedMsAgo?: number;
 }
 
 /** What one host tells another; a fact that is told twice has no further effect. */
--- a/packages/crash-evidence/test/crash-evidence.test.ts
+++ b/packages/crash-evidence/test/crash-evidence.test.ts
@@ -313,6 +313,61 @@
   assert.ok(waits[2] > waits[1]);
 });
 
+// With crashes that are noticed seconds later, all hosts tried before the first was known.
+test('crashes: a request that is let through keeps the others of all hosts back until its outcome is known', () => {
+  const hosts = [0, 1].map(rank => start(rank));
+  for (const {crash, clock} of hosts) {
+    for (const name of ['a', 'b']) crash([name, DEADLY]);
+    clock.nowMs += FIRST_PAUSE_MS;
+  }
+  const [first, second] = hosts;
+  const exchangeReports = () => second.evidence.merge(first.evidence.report()!);
+  const advance = (ms: number) =>
+    hosts.forEach(({clock}) => (clock.nowMs += ms));
+  assert.equal(isRejected(first.evidence, 'c', DEADLY), false);
+  exchangeReports();
+  advance(9_000);
+  assert.deepEqual(
+    hosts.map(({evidence}) => isRejected(evidence, 'd', DEADLY)),
+    [true, true],
+  );
+  first.evidence.endTrial(DEADLY);
+  advance(600);
+  assert.equal(isRejected(first.evidence, 'e', DEADLY), false);
+});
+
+test('crashes: a look at what would be rejected lets nothing through', () => {
+  const {evidence, crash, clock} = start();
+  for (const name of ['a', 'b']) crash([name, DEADLY]);
+  const expected = () =>
+    evidence.expectRejection([DEADLY], () => request('c')) !== undefined;
+  assert.equal(expected(), true);
+  clock.nowMs += FIRST_PAUSE_MS;
+  assert.deepEqual([expected(), expected()], [false, false]);
+  assert.equal(isRejected(evidence, 'c', DEADLY), false);
+  assert.equal(expected(), true);
+});
+
+// Engines that were silent crash in a row after the ban, during its pause.
+test('crashes: five crashes of over a second that a part explains prove it without a pause', () => {
+  const {evidence, crash} = start();
+  for (const name of ['a', 'b', 'c', 'd', 'e']) crash([name, DEADLY]);
+  const rejection = evidence.rejectionOf([DEADLY], () => request('f'));
+  assert.equal(rejection?.isProven, true);
+});
+
+test('crashes: a success after the endpoint fell silent counts, though its end is noticed later', () => {
+  const {evidence, clock} = start();
+  for (const n of [0, 1, 2]) {
+    clock.nowMs += 1_000;
+    evidence.recordSuccess([SOUND]);
+    const suspect = {request: request(`s${n}`), hasBegun: true, parts: [SOUND]};
+    clock.nowMs += 500;
+    evidence.recordCrash(run(`e${n}`), {...suspect, silentMs: 2_000});
+  }
+  assert.equal(isRejected(evidence, 'x', SOUND), false);
+});
+
 test('crashes: after the pause one request is tried, and a success lets all others pass', () => {
   const {evidence, crash, clock} = start();
   crash(['a', SOUND]);
--- a/packages/gateway/src/coordination/coordination.ts
+++ b/packages/gateway/src/coordination/coordination.ts
@@ -10,7 +10,6 @@
   createRequestLimits,
   type RequestLimits,
 } from '@chivewick/coordination';
-import type {Dialer} from '@chivewick/tunnels';
 import {
   choosePath,
   layersWithoutCapacity,
@@ -25,7 +24,12 @@
 import type {Fleet, FleetHost} from '../fleet.js';
 import type {PipeUsage} from '../pipe-usage.js';
 import type {RetryAllowance} from '../retry-allowance.js';
-import {createQuarantine, type Quarantine} from '../quarantine/index.js';
+import {
+  createQuarantine,
+  isReplaced,
+  type CheckRun,
+  type Quarantine,
+} from '../quarantine/index.js';
 import type {RoutingConfig} from '../types.js';
 import {createCoordinator, engineServices} from './coordinator.js';
 import {openDatagrams, type Handlers} from './datagrams.js';
@@ -121,7 +125,7 @@
   readonly isLeaseHolder: () => boolean;
   /** Called after a change of what is known of crashes. */
   readonly onEvidence?: () => void;
-  readonly dialer: Pick<Dialer, 'isDown'>;
+  readonly checkRun: CheckRun;
   /** Checks an endpoint that did not respond to another host. */
   readonly verify: (state: EndpointState) => void;
 }
@@ -171,7 +175,8 @@
   const quarantine = createQuarantine({
     self: self.id,
     others: () => fleet.others(),
-    dialer: options.dialer,
+    checkRun: options.checkRun,
+    isReplaced: state => isReplaced(table, state),
     log,
     onChange() {
       gossip.announceEvidence();
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -292,8 +292,18 @@
  * @example
  * if (isLeaving(state)) sendElsewhere();
  */
-export function isLeaving({record, leaving, removed}: EndpointState): boolean {
-  return removed || leaving || record.state === 'draining';
+export function isLeaving(state: EndpointState): boolean {
+  return state.removed || hasAnnouncedItsEnd(state);
+}
+
+/**
+ * Whether an endpoint has stated that it stops, in its entry or in a response.
+ *
+ * @example
+ * if (hasAnnouncedItsEnd(state)) return; // no crash
+ */
+export function hasAnnouncedItsEnd({record, leaving}: EndpointState): boolean {
+  return leaving || record.state === 'draining';
 }
 
 /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,7 +29,7 @@
 import {createRequestHandler} from './handle-request.js';
 import {createGatewayMetrics} from './metrics.js';
 import {createPathProbe} from './path-probe.js';
-import {keepBans} from './quarantine/index.js';
+import {createRunCheck, keepBans} from './quarantine/index.js';
 import {recheckSuspects} from './recheck-suspects.js';
 import {createPipeUsage, HOST_AVERAGING_TIME_MS} from './pipe-usage.js';
 import {startRelay} from './relay.js';
@@ -165,7 +165,7 @@
     random,
     log,
     isLeaseHolder: () => options.fence() !== undefined,
-    dialer,
+    checkRun: createRunCheck({dialer, control: options.control}),
     onEvidence: () => savedBans?.changed(),
     verify: state => suspects.verify(state),
   });
@@ -237,13 +237,17 @@
     signal: closing.signal,
     waitMs: ENDPOINT_POLL_MS,
     batchMs: BATCH_MS,
-    onListing: objects => table.replaceAll(objects.flatMap(readEndpoint)),
+    onListing(objects) {
+      table.replaceAll(objects.flatMap(readEndpoint));
+      coordination.quarantine.endpointsChanged();
+    },
     onChanges: changes => {
       for (const change of changes) {
         if (change.value === undefined)
           table.remove(nameOfKey(change.key) as EndpointId);
         else readEndpoint(change as StoredObject).forEach(table.upsert);
       }
+      coordination.quarantine.endpointsChanged();
     },
     onUnavailable: () => table.storeUnavailable(),
   });
--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -7,11 +7,12 @@
   type EvidenceReport,
   type Fingerprint,
   type Rejection,
+  type SuspectRequest,
 } from '@chivewick/crash-evidence';
-import type {Dialer} from '@chivewick/tunnels';
 import {createHash} from 'node:crypto';
-import {isLeaving, type EndpointState} from '../endpoint-table.js';
+import type {EndpointState} from '../endpoint-table.js';
 import type {Exchange} from '../exchange.js';
+import {createRunWatch, type CheckRun} from './run-watch.js';
 
 /** Parts of a prompt that are considered; the first ones are the most shared. */
 const MAX_PARTS = 16;
@@ -26,8 +27,15 @@
 
 /** Keeps requests that crash endpoints from being sent to more of them. */
 export interface Quarantine {
-  /** Why a request must not be sent now; undefined if it may be sent. */
+  /** Why a request would not be sent now; undefined if it may be sent. */
+  expectRejection(exchange: SuspectExchange): Rejection | undefined;
+  /**
+   * The same for a request that is sent at once if it is not rejected. One that is let
+   * through in spite of a suspicion keeps others back until its outcome is known.
+   */
   rejectionOf(exchange: SuspectExchange): Rejection | undefined;
+  /** Notices that a request is over, whatever its outcome. */
+  finished(exchange: SuspectExchange): void;
   /** Records that a response was written, so that its request crashes no endpoint. */
   succeeded(exchange: SuspectExchange): void;
   /**
@@ -41,6 +49,17 @@
     state: EndpointState,
     hasBegun: boolean,
   ): Promise<void>;
+  /**
+   * Records that a request was given up because its endpoint was silent, which may end
+   * later.
+   */
+  gaveUp(
+    exchange: SuspectExchange,
+    state: EndpointState,
+    hasBegun: boolean,
+  ): void;
+  /** Notices that endpoints were added or replaced. */
+  endpointsChanged(): void;
   /** What other hosts should know; undefined if there is nothing. */
   report(): EvidenceReport | undefined;
   merge(report: EvidenceReport): void;
@@ -51,15 +70,22 @@
   readonly self: HostId;
   /** All other hosts that share the endpoints. */
   readonly others: () => readonly {readonly id: HostId}[];
-  readonly dialer: Pick<Dialer, 'isDown'>;
+  readonly checkRun: CheckRun;
+  /** Whether another run of an endpoint is known to stand in its place. */
+  readonly isReplaced: (state: EndpointState) => boolean;
   readonly log: Logger;
   /** Called after a change that other hosts should know at once. */
   readonly onChange: () => void;
 }
 
+/** A request that may have ended a run of an endpoint. */
+interface Suspect extends SuspectRequest {
+  readonly exchange: SuspectExchange;
+}
+
 /**
- * Creates the quarantine of this host. A crash is what ends an endpoint's process: a
- * connection that is closed by a live one is not counted.
+ * Creates the quarantine of this host. A crash is what ends an endpoint's process, however
+ * late that is noticed: a connection that is closed by a live one is not counted.
  *
  * @example
  * if (quarantine.rejectionOf(exchange) !== undefined) return failed(rejected);
@@ -69,6 +95,7 @@
   const {self, log} = options;
   const evidence = createCrashEvidence({
     onChange: options.onChange,
+    onTrial: fingerprint => started.push(fingerprint),
     onBan: ban => log.event('fingerprintBanned', {...ban}),
     onUnban: fingerprint => log.event('fingerprintUnbanned', {fingerprint}),
     trialRank(fingerprint) {
@@ -77,33 +104,72 @@
     },
   });
 
+  /** Fingerprints that requests are sent in spite of, until their outcome is known. */
+  const trials = new Map<SuspectExchange, Fingerprint[]>();
+  let started: Fingerprint[] = [];
+  const watch = createRunWatch<Suspect>({
+    checkRun: options.checkRun,
+    isReplaced: options.isReplaced,
+    onEnded: recordCrash,
+  });
+
+  function suspectOf(exchange: SuspectExchange, hasBegun: boolean): Suspect {
+    const request = digestOf(exchange);
+    return {exchange, request, hasBegun, parts: partsOf(exchange)};
+  }
+
+  function recordCrash(
+    {record}: EndpointState,
+    {request, hasBegun, parts}: Suspect,
+    silentMs: number,
+  ): void {
+    const {id: endpoint, startedAtMs} = record;
+    const suspect = {request, hasBegun, parts};
+    log.event('crashRecorded', {endpoint, startedAtMs, silentMs, ...suspect});
+    const run = id<EndpointRun>(`${endpoint}@${startedAtMs}`);
+    evidence.recordCrash(run, {...suspect, silentMs: Math.round(silentMs)});
+  }
+
   return {
-    rejectionOf: exchange =>
-      evidence.rejectionOf(partsOf(exchange), () => digestOf(exchange)),
-    succeeded: exchange =>
-      evidence.recordSuccess(partsOf(exchange), () => digestOf(exchange)),
+    expectRejection: exchange =>
+      evidence.expectRejection(partsOf(exchange), () => digestOf(exchange)),
+    rejectionOf(exchange) {
+      started = [];
+      const digest = () => digestOf(exchange);
+      const rejection = evidence.rejectionOf(partsOf(exchange), digest);
+      if (started.length > 0) trials.set(exchange, started);
+      return rejection;
+    },
+    finished(exchange) {
+      const ended = trials.get(exchange);
+      if (ended === undefined) return;
+      trials.delete(exchange);
+      // The endpoint may still crash.
+      if (watch.has(suspect => suspect.exchange === exchange)) return;
+      for (const fingerprint of ended) evidence.endTrial(fingerprint);
+    },
+    succeeded(exchange) {
+      watch.forget(suspect => suspect.exchange === exchange);
+      evidence.recordSuccess(partsOf(exchange), () => digestOf(exchange));
+    },
     async disconnected(exchange, state, hasBegun) {
-      const {id: endpoint, address, startedAtMs} = state.record;
-      // The end of a leaving endpoint is planned.
-      if (isLeaving(state)) return;
-      const request = digestOf(exchange);
-      const parts = partsOf(exchange);
-      const suspect = {request, hasBegun, parts};
-      // Another host is asked too: to one that is cut off, all endpoints look crashed.
-      if (!(await options.dialer.isDown(address))) {
-        const reason = 'accepts connections';
-        log.event('crashNotCounted', {endpoint, startedAtMs, reason, request});
-        return;
-      }
-      log.event('crashRecorded', {endpoint, startedAtMs, ...suspect});
-      evidence.recordCrash(
-        id<EndpointRun>(`${endpoint}@${startedAtMs}`),
-        suspect,
-      );
+      const suspect = suspectOf(exchange, hasBegun);
+      const status = await watch.check(state, suspect);
+      if (status !== 'ended') logUncounted(state, status);
     },
+    gaveUp(exchange, state, hasBegun) {
+      watch.add(state, suspectOf(exchange, hasBegun));
+      logUncounted(state, 'silent');
+    },
+    endpointsChanged: () => watch.endpointsChanged(),
     report: () => evidence.report(),
     merge: report => evidence.merge(report),
   };
+
+  function logUncounted({record}: EndpointState, status: string): void {
+    const {id: endpoint, startedAtMs} = record;
+    log.event('crashNotCounted', {endpoint, startedAtMs, status});
+  }
 }
 
 function partsOf({facts, service}: SuspectExchange): Fingerprint[] {
--- a/packages/gateway/src/quarantine/rejected.ts
+++ b/packages/gateway/src/quarantine/rejected.ts
@@ -7,16 +7,28 @@
  * The failure of a request that the quarantine keeps from being sent; undefined if it may
  * be sent. One that has run and is only suspected ends as it would without the quarantine.
  *
+ * @param when whether the request is sent at once, or only considered.
  * @example
- * const err = rejectQuarantined(exchange, ctx, attempts);
+ * const err = rejectQuarantined('sent', {exchange, ctx, attempts});
  * if (err !== undefined) return failed(err);
  */
 export function rejectQuarantined(
-  exchange: Exchange,
-  ctx: Pick<ExchangeContext, 'quarantine' | 'log' | 'metrics'>,
-  attempts: Pick<Attempts, 'runs' | 'failure'>,
+  when: 'considered' | 'sent',
+  {
+    exchange,
+    ctx,
+    attempts,
+  }: {
+    exchange: Exchange;
+    ctx: Pick<ExchangeContext, 'quarantine' | 'log' | 'metrics'>;
+    attempts: Pick<Attempts, 'runs' | 'failure'>;
+  },
 ): Failure | undefined {
-  const rejection = ctx.quarantine.rejectionOf(exchange);
+  const {quarantine} = ctx;
+  const rejection =
+    when === 'sent'
+      ? quarantine.rejectionOf(exchange)
+      : quarantine.expectRejection(exchange);
   if (rejection === undefined) return undefined;
   ctx.log.event('fingerprintRejected', {
     requestId: exchange.requestId,
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -70,6 +70,17 @@
 export async function servePlain(
   exchange: Exchange,
   ctx: ExchangeContext,
+): Promise<ExchangeResult> {
+  try {
+    return await sendUntilServed(exchange, ctx);
+  } finally {
+    ctx.quarantine.finished(exchange);
+  }
+}
+
+async function sendUntilServed(
+  exchange: Exchange,
+  ctx: ExchangeContext,
 ): Promise<ExchangeResult> {
   const {rule, service, requestId, res} = exchange;
   const tried = new Set<EndpointId>();
@@ -80,8 +91,9 @@
     if (leftMs < MIN_REMAINING_MS)
       return failed(attempts.failure ?? deadlineTooClose());
     if (ctx.gaveUp.aborted) return failed(attempts.failure ?? shuttingDown());
-    const rejected = rejectQuarantined(exchange, ctx, attempts);
-    if (rejected !== undefined) return failed(rejected);
+    const context = {exchange, ctx, attempts};
+    const expected = rejectQuarantined('considered', context);
+    if (expected !== undefined) return failed(expected);
     const usable = () => ctx.table.usable(service.name);
     // If no unsuspected endpoint is left, a suspected one is better than none.
     const suspected = () =>
@@ -100,11 +112,15 @@
           noEndpoint(usable().length, tried.size, pauseLeftMs(exchange, ctx)),
       );
     }
+    const rejected = rejectQuarantined('sent', context);
+    if (rejected !== undefined) return failed(rejected);
     tried.add(state.record.id);
     attempts.sent();
     const outcome = await sendOnce(exchange, ctx, state);
     if (outcome.kind === 'unknown' && outcome.isDisconnected === true)
       await ctx.quarantine.disconnected(exchange, state, false);
+    if (outcome.kind === 'deadline' && outcome.sent)
+      ctx.quarantine.gaveUp(exchange, state, false);
     const next = handleOutcome(outcome, state);
     if (next !== undefined) return next;
   }
--- a/packages/gateway/src/serve-stream.ts
+++ b/packages/gateway/src/serve-stream.ts
@@ -3,6 +3,7 @@
 import {shuttingDown, startResponse} from './responses.js';
 import {createAttempts} from './attempts.js';
 import type {PathChoice, PathWork} from './coordination/index.js';
+import type {EndpointState} from './endpoint-table.js';
 import type {ExchangeResult, Exchange, ExchangeContext} from './exchange.js';
 import {createPathLoad} from './path-load.js';
 import {transferMs} from './pipe-usage.js';
@@ -42,6 +43,11 @@
 const REPLACEMENT_ORDER_MS = 2_500;
 /** Part of the layers that one engine loads at most. */
 const LOADED_FRACTION = 0.25;
+/**
+ * Silence after which an engine is watched for a crash where the caller leaves. Engines that
+ * are only busy send an event within that time, and need no check.
+ */
+const MIN_SUSPECT_SILENCE_MS = 1_000;
 /** Spread of the returns of callers that are rejected at the same time. */
 const RETRY_SPREAD = 0.3;
 /**
@@ -100,8 +106,9 @@
       if (ctx.gaveUp.aborted) {
         return failed(attempts.failure ?? shuttingDown());
       }
-      const rejected = rejectQuarantined(exchange, ctx, attempts);
-      if (rejected !== undefined) return failed(rejected);
+      const context = {exchange, ctx, attempts};
+      const expected = rejectQuarantined('considered', context);
+      if (expected !== undefined) return failed(expected);
       const choice = await coordination.choosePath({
         service: service.name,
         profile,
@@ -124,6 +131,11 @@
         coordination.held.release(choice.id);
         return callerLeft();
       }
+      const rejected = rejectQuarantined('sent', context);
+      if (rejected !== undefined) {
+        coordination.held.release(choice.id);
+        return failed(rejected);
+      }
       if (attempts.sends > 0) ctx.metrics.retries.inc({result: 'allowed'});
       attempts.sent();
       load.start(choice.id, stages);
@@ -133,6 +145,8 @@
         send: attempts.sends,
         lastEventId: progress.lastEventId,
       });
+      const first = ctx.table.get(stages[0].endpoint);
+      const sentAtMs = performance.now();
       const outcome = await runStreamAttempt(
         {
           exchange,
@@ -149,7 +163,7 @@
         },
         headers => startResponse(res, 200, headers),
       );
-      await recordCrash(outcome);
+      await recordCrash(outcome, {first, sentAtMs});
       const next = handleOutcome(outcome, stages);
       if (next !== undefined) return next;
       if (outcome.kind !== 'refused') continue;
@@ -158,6 +172,7 @@
     }
   } finally {
     load.release();
+    ctx.quarantine.finished(exchange);
   }
 
   function remainingWork(): PathWork {
@@ -169,23 +184,28 @@
   }
 
   /** Records what may have crashed an endpoint, before the request is sent again. */
-  async function recordCrash(outcome: StreamAttemptOutcome): Promise<void> {
-    if (outcome.kind !== 'broken' || outcome.suspect === undefined) return;
+  async function recordCrash(
+    outcome: StreamAttemptOutcome,
+    {first, sentAtMs}: {first: EndpointState | undefined; sentAtMs: number},
+  ): Promise<void> {
+    if (first === undefined || outcome.kind === 'refused') return;
     // Events of several attempts prove nothing: each endpoint may have sent one before
     // it crashed.
-    const hasBegun = progress.attemptEvents >= BEGUN_EVENTS;
-    if (hasBegun) return;
-    if (outcome.disconnected === undefined) {
-      const {id: endpoint, startedAtMs} = outcome.suspect.record;
-      const {reason} = outcome;
-      ctx.log.event('crashNotCounted', {endpoint, startedAtMs, reason});
-      return;
+    if (progress.attemptEvents >= BEGUN_EVENTS) return;
+    const disconnected =
+      outcome.kind === 'broken' ? outcome.disconnected : undefined;
+    if (disconnected !== undefined) {
+      const hasHead = disconnected === 'after_head';
+      return ctx.quarantine.disconnected(exchange, first, hasHead);
     }
-    await ctx.quarantine.disconnected(
-      exchange,
-      outcome.suspect,
-      outcome.disconnected === 'after_head',
-    );
+    const isOther = outcome.kind === 'broken' && outcome.suspect !== first;
+    const isEnd = outcome.kind === 'complete' || outcome.kind === 'answered';
+    if (isEnd || (isOther && outcome.suspect !== undefined)) return;
+    // A caller leaves a silent stream by itself, and the engine may end after that.
+    const silentMs =
+      performance.now() - Math.max(sentAtMs, progress.lastEventMs);
+    if (outcome.kind === 'broken' || silentMs > MIN_SUSPECT_SILENCE_MS)
+      ctx.quarantine.gaveUp(exchange, first, res.headersSent);
   }
 
   /** Returns the result of the request, or undefined if another attempt follows. */
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -214,6 +214,8 @@
 
 /** Status that an engine reports about itself. */
 export interface EngineReport {
+  /** Start of its process, in milliseconds of epoch time, if it states that. */
+  readonly startedAtMs?: number;
   readonly orderCount: number;
   readonly layers?: LayerRange;
   /** Greater than 1 if the engine is slower than is typical of its kind. */
--- a/packages/gateway/test/coordination.test.ts
+++ b/packages/gateway/test/coordination.test.ts
@@ -104,7 +104,7 @@
     random: createRandom(1),
     log,
     isLeaseHolder: () => false,
-    dialer: {isDown: () => Promise.resolve(true)},
+    checkRun: () => Promise.resolve('ended' as const),
     verify: state => verified.push(state.record.id),
   });
   open.push(coordination);
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -251,6 +251,8 @@
   behavior: Behavior;
   /** Ends it as a crash does: all connections close, and new ones are refused. */
   crash(): void;
+  /** Closes all connections, and accepts new ones. */
+  reset(): void;
   /** Refuses new connections; those that are open live on. */
   refuse(): void;
 }
@@ -267,6 +269,9 @@
     heads,
     behavior,
     refuse: () => void server.close(),
+    reset() {
+      for (const socket of sockets) socket.destroy();
+    },
     crash() {
       server.close();
       for (const socket of sockets) socket.destroy();
