Start no stream at an engine whose slots are taken

Cause: the choice of a path knew the memory of an engine but not its slots, which bound the streams that begin there. Change: an engine with the first layers is the first stage while it runs fewer streams than nine tenths of its slots; the rest is for streams that other failure domains have not reported.

--- a/packages/gateway/src/choose-path.ts
+++ b/packages/gateway/src/choose-path.ts
@@ -26,6 +26,12 @@
  * average, and its end is known about 100 ms late.
  */
 const MEMORY_OVERCOMMIT = 1.25;
+/**
+ * Part of an engine's slots that are given to streams which begin there. Streams beyond the
+ * slots wait in the engine for seconds before their first event. The rest is for those that
+ * other failure domains have started and not yet reported.
+ */
+const USED_SLOTS = 0.9;
 /** Slowdown of decoding per concurrent request, whose prefill may interfere. */
 const PREFILL_SLOWDOWN = 0.01;
 const US_PER_MS = 1_000;
@@ -263,12 +269,22 @@
     mayBeFirst:
       layers.from > 0 ||
       request.limitedBy === 'nothing' ||
-      request.mayStart?.(id) !== false,
+      (request.mayStart?.(id) !== false &&
+        (request.limitedBy === 'refusals' ||
+          hasFreeSlot(running, profile.slots))),
     price:
       (MEMORY_PRICE * usedFraction ** MEMORY_PRICE_POWER) / (1 - usedFraction),
   };
 }
 
+/**
+ * Whether an engine with the first layers takes one more stream: every stream on it
+ * begins there. Answers a load under which the fastest engine gets most streams.
+ */
+function hasFreeSlot(running: number, slots: number): boolean {
+  return running < Math.max(1, USED_SLOTS * slots);
+}
+
 /** Maximum delay between two failure domains, in milliseconds. */
 function maxDelayMs(profile: EngineProfile): number {
   return Math.max(0, ...profile.delays.map(delay => delay.delayMs));
--- a/packages/gateway/test/choose-path.test.ts
+++ b/packages/gateway/test/choose-path.test.ts
@@ -130,3 +130,48 @@
   assert.equal(choosePath([first], profile, requestOf(0.25, 1)), undefined);
   assert.equal(first.record.id, id<EndpointId>('e0-0'));
 });
+
+// The fastest engine with the first layers had two thirds more streams than slots: they
+// waited there for 1.5 s, while other engines with these layers had free slots.
+test('paths: no stream begins at an engine whose slots are taken', () => {
+  const engines = createEngines();
+  const firsts = engines.filter(({record: {layers}}) => layers?.from === 0);
+  const request = {...requestOf(1, 1), limitedBy: 'capacity'} as const;
+  const chosen = choosePath(engines, profile, request)![0].endpoint;
+  const busiest = firsts.find(({record: {id: name}}) => name === chosen)!;
+  busiest.othersRunning = profile.slots;
+  const next = choosePath(engines, profile, request)![0].endpoint;
+  assert.notEqual(next, chosen);
+  for (const state of firsts) state.othersRunning = profile.slots;
+  assert.equal(choosePath(engines, profile, request), undefined);
+  // A free slot may be waited for.
+  const waits = choosePath(engines, profile, {
+    ...request,
+    limitedBy: 'nothing',
+  });
+  assert.ok(waits !== undefined);
+});
+
+test('paths: streams spread over the engines with the first layers before any slot is missing', () => {
+  const engines = createEngines();
+  const random = createRandom(3);
+  const slots = 20;
+  for (let n = 0; n < slots * COPIES * 0.85; n++) {
+    const request = {
+      ...requestOf(1, 1),
+      random,
+      limitedBy: 'capacity',
+    } as const;
+    const path = choosePath(engines, {...profile, slots}, request)!;
+    for (const {endpoint} of path) {
+      const state = engines.find(({record: {id: name}}) => name === endpoint)!;
+      state.running += 1;
+    }
+  }
+  const most = Math.max(
+    ...engines
+      .filter(({record: {layers}}) => layers?.from === 0)
+      .map(({running}) => running),
+  );
+  assert.ok(most <= slots, `${most} streams begin at one engine`);
+});
