Report the success that ends a ban to all hosts

Cause: a report names the successes of what was near a crash of the last 10 s. Change: the success is reported for 10 s after it ended a ban.

--- a/packages/crash-evidence/src/crash-evidence.ts
+++ b/packages/crash-evidence/src/crash-evidence.ts
@@ -43,6 +43,7 @@
 const MAX_CRASH_BYTES = 36_000;
 const MAX_REQUESTS = 16;
 const MAX_SUCCESSES = 4_096;
+const MAX_ENDED_BANS = 128;
 
 /** Evidence on which requests crash endpoints, from this and other hosts. */
 export interface CrashEvidence {
@@ -120,6 +121,8 @@
     explainsAll,
     onBan: options.onBan,
   });
+  /** When bans ended by a success, which other hosts should know for a while. */
+  const endedBans = new Map<Fingerprint, number>();
   /** When all reports on the newest crash have arrived. */
   let settledAtMs = -Infinity;
   let evaluatedAtMs = -Infinity;
@@ -158,6 +161,8 @@
     successes.set(fingerprint, atMs);
     dropOldest(successes, MAX_SUCCESSES);
     if (bans.endBefore(fingerprint, atMs)) {
+      endedBans.set(fingerprint, now());
+      dropOldest(endedBans, MAX_ENDED_BANS);
       options.onUnban?.(fingerprint);
       return true;
     }
@@ -353,7 +358,11 @@
           .filter(crash => atMs - crash.atMs < REPORTED_MS)
           .slice(-MAX_REPORTED_CRASHES),
       );
-      if (recent.length === 0 && bans.isEmpty()) return undefined;
+      const ended = [...endedBans]
+        .filter(([, endedAtMs]) => atMs - endedAtMs < REPORTED_MS)
+        .map(([fingerprint]) => fingerprint);
+      if (recent.length === 0 && ended.length === 0 && bans.isEmpty())
+        return undefined;
       const near = new Set(
         recent.flatMap(({requests}) =>
           [...requests.values()].flatMap(({request, parts}) => [
@@ -362,7 +371,8 @@
           ]),
         ),
       );
-      for (const fingerprint of bans.fingerprints()) near.add(fingerprint);
+      for (const fingerprint of [...bans.fingerprints(), ...ended])
+        near.add(fingerprint);
       return {
         crashes: recent.map(({run, requests, atMs: crashAtMs}) => ({
           run,
--- a/packages/crash-evidence/test/crash-evidence.test.ts
+++ b/packages/crash-evidence/test/crash-evidence.test.ts
@@ -336,6 +336,22 @@
   assert.equal(isRejected(first.evidence, 'e', DEADLY), false);
 });
 
+// Hosts that did not know of the success each waited for a trial of their own.
+test('crashes: the success that ends a ban is reported, long after the crash', () => {
+  const hosts = [0, 1].map(rank => start(rank));
+  for (const {crash, clock} of hosts) {
+    for (const name of ['a', 'b']) crash([name, SOUND]);
+    clock.nowMs += 20_000;
+  }
+  const [first, second] = hosts;
+  assert.equal(isRejected(first.evidence, 'c', SOUND), false);
+  second.evidence.merge(first.evidence.report()!);
+  first.evidence.recordSuccess([SOUND]);
+  second.evidence.merge(first.evidence.report()!);
+  assert.equal(isRejected(second.evidence, 'd', SOUND), false);
+  assert.equal(isRejected(second.evidence, 'e', SOUND), false);
+});
+
 test('crashes: a look at what would be rejected lets nothing through', () => {
   const {evidence, crash, clock} = start();
   for (const name of ['a', 'b']) crash([name, DEADLY]);
