Count the streams that begin at an engine apart from those that pass through

Cause: an engine with the first layers also serves as a later stage, with a part of its range (6-20 after another engine's 0-6). Change: hosts, grants and summaries count the streams that begin at an engine; the field is optional in messages, for hosts of an older version. The expected load in a test of the grant table has the new field.

--- a/packages/coordination/src/grant-table.ts
+++ b/packages/coordination/src/grant-table.ts
@@ -81,8 +81,13 @@
   }
 
   function notify({stages, tokens}: Grant, sign: 1 | -1): void {
-    for (const {endpoint, layers} of stages)
-      onChange({endpoint, running: sign, tokenLayers: sign * tokens * layers});
+    for (const [index, {endpoint, layers}] of stages.entries())
+      onChange({
+        endpoint,
+        running: sign,
+        tokenLayers: sign * tokens * layers,
+        starting: index === 0 ? sign : 0,
+      });
   }
 
   return {
@@ -111,12 +116,13 @@
       const sums = new Map<EndpointId, EndpointLoad>();
       for (const {grants} of hosts.values())
         for (const {stages, tokens} of grants.values())
-          for (const {endpoint, layers} of stages) {
+          for (const [index, {endpoint, layers}] of stages.entries()) {
             const sum = sums.get(endpoint);
             sums.set(endpoint, {
               endpoint,
               running: (sum?.running ?? 0) + 1,
               tokenLayers: (sum?.tokenLayers ?? 0) + tokens * layers,
+              starting: (sum?.starting ?? 0) + (index === 0 ? 1 : 0),
             });
           }
       return [...sums.values()];
--- a/packages/coordination/src/types.ts
+++ b/packages/coordination/src/types.ts
@@ -7,6 +7,8 @@
   readonly running: number;
   /** KV cache that they hold, in tokens times layers. */
   readonly tokenLayers: number;
+  /** Those that begin there and take one of its slots; unknown from an older version. */
+  readonly starting?: number;
 }
 
 /** Use of the pipe between two failure domains, in either direction. */
--- a/packages/coordination/test/grant-table.test.ts
+++ b/packages/coordination/test/grant-table.test.ts
@@ -20,7 +20,7 @@
   table.add(HOSTS[0], grantOf(1));
   table.add(HOSTS[1], grantOf(1));
   assert.deepEqual(table.loads(), [
-    {endpoint: ENDPOINTS[0], running: 2, tokenLayers: 4_000},
+    {endpoint: ENDPOINTS[0], running: 2, tokenLayers: 4_000, starting: 2},
   ]);
   table.release(HOSTS[0], [1, 1, 7]);
   table.release(HOSTS[1], [1]);
--- a/packages/gateway/src/choose-path.ts
+++ b/packages/gateway/src/choose-path.ts
@@ -232,6 +232,7 @@
   if (request.exclude.has(id)) return undefined;
   const layerCount = layers.to - layers.from;
   const running = state.running * (1 + missingHosts) + state.othersRunning;
+  const starting = state.starting * (1 + missingHosts) + state.othersStarting;
   const heldTokenLayers =
     state.heldTokenLayers * (1 + missingHosts) + state.othersTokenLayers;
   const contextTokens = promptTokens + outputTokens / 2;
@@ -271,18 +272,18 @@
       request.limitedBy === 'nothing' ||
       (request.mayStart?.(id) !== false &&
         (request.limitedBy === 'refusals' ||
-          hasFreeSlot(running, profile.slots))),
+          hasFreeSlot(starting, profile.slots))),
     price:
       (MEMORY_PRICE * usedFraction ** MEMORY_PRICE_POWER) / (1 - usedFraction),
   };
 }
 
 /**
- * Whether an engine with the first layers takes one more stream: every stream on it
- * begins there. Answers a load under which the fastest engine gets most streams.
+ * Whether an engine takes one more stream that begins there. Answers a load under which
+ * the fastest engine gets most streams.
  */
-function hasFreeSlot(running: number, slots: number): boolean {
-  return running < Math.max(1, USED_SLOTS * slots);
+function hasFreeSlot(starting: number, slots: number): boolean {
+  return starting < Math.max(1, USED_SLOTS * slots);
 }
 
 /** Maximum delay between two failure domains, in milliseconds. */
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -117,10 +117,12 @@
 
   const isActive = () => performance.now() - grantedAtMs < ACTIVE_MS;
 
-  function addToTable({endpoint, running, tokenLayers}: EndpointLoad): void {
+  function addToTable(load: EndpointLoad): void {
+    const {endpoint, running, tokenLayers, starting = 0} = load;
     const state = table.get(endpoint);
     if (state === undefined) return;
     state.othersRunning = Math.max(0, state.othersRunning + running);
+    state.othersStarting = Math.max(0, state.othersStarting + starting);
     state.othersTokenLayers = Math.max(
       0,
       state.othersTokenLayers + tokenLayers,
@@ -253,13 +255,15 @@
     },
     domainLoads() {
       const loads = new Map(grants.loads().map(load => [load.endpoint, load]));
-      for (const {record, running, heldTokenLayers} of table.all()) {
+      for (const state of table.all()) {
+        const {record, running, heldTokenLayers, starting} = state;
         if (running === 0 || record.layers === undefined) continue;
         const granted = loads.get(record.id);
         loads.set(record.id, {
           endpoint: record.id,
           running: running + (granted?.running ?? 0),
           tokenLayers: heldTokenLayers + (granted?.tokenLayers ?? 0),
+          starting: starting + (granted?.starting ?? 0),
         });
       }
       return [...loads.values()];
--- a/packages/gateway/src/coordination/domain-summary.ts
+++ b/packages/gateway/src/coordination/domain-summary.ts
@@ -43,6 +43,7 @@
     loads: loaded.slice(0, MAX_LOADS).map(state => ({
       endpoint: state.record.id,
       running: state.running + state.othersRunning,
+      starting: state.starting + state.othersStarting,
       tokenLayers: state.heldTokenLayers + state.othersTokenLayers,
     })),
     suspected: states
@@ -66,6 +67,7 @@
     const others = load.running - state.running;
     const othersHeld = load.tokenLayers - state.heldTokenLayers;
     state.othersRunning = Math.max(0, others);
+    state.othersStarting = Math.max(0, (load.starting ?? 0) - state.starting);
     state.othersTokenLayers = Math.max(0, othersHeld);
   }
   for (const endpoint of summary.suspected) suspectReported(table, endpoint);
--- a/packages/gateway/src/coordination/messages.ts
+++ b/packages/gateway/src/coordination/messages.ts
@@ -268,7 +268,10 @@
 function isLoad(value: unknown): boolean {
   const load = fieldsOf(value) as Partial<EndpointLoad>;
   return (
-    isText(load.endpoint) && isCount(load.running) && isCount(load.tokenLayers)
+    isText(load.endpoint) &&
+    isCount(load.running) &&
+    isCount(load.tokenLayers) &&
+    (load.starting === undefined || isCount(load.starting))
   );
 }
 
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -33,10 +33,14 @@
   readonly isRestart: boolean;
   /** This host's requests in progress on the endpoint. */
   running: number;
+  /** Those of them that begin there and take one of its slots. */
+  starting: number;
   /** KV cache that those requests hold, in tokens times layers. */
   heldTokenLayers: number;
   /** Sum of `running` over the other hosts, from their latest reports. */
   othersRunning: number;
+  /** Sum of `starting` over the other hosts, from their latest reports. */
+  othersStarting: number;
   /** Sum of `heldTokenLayers` over the other hosts, from their latest reports. */
   othersTokenLayers: number;
   /** Moving average of the response time of plain requests, in milliseconds. */
@@ -153,8 +157,10 @@
       firstSeenAtMs: now(),
       isRestart,
       running: 0,
+      starting: 0,
       heldTokenLayers: 0,
       othersRunning: 0,
+      othersStarting: 0,
       othersTokenLayers: 0,
       latencyMs: INITIAL_LATENCY_MS,
       consecutiveFailures: 0,
@@ -260,6 +266,7 @@
     clearOthersLoad() {
       for (const state of states.values()) {
         state.othersRunning = 0;
+        state.othersStarting = 0;
         state.othersTokenLayers = 0;
       }
     },
--- a/packages/gateway/src/path-load.ts
+++ b/packages/gateway/src/path-load.ts
@@ -2,6 +2,14 @@
 import type {HeldPaths} from './coordination/held-paths.js';
 import type {EndpointState, EndpointTable} from './endpoint-table.js';
 
+/** What a stream reserves on one stage. */
+interface Reservation {
+  readonly state: EndpointState;
+  readonly tokenLayers: number;
+  /** 1 on the stage on which it begins, otherwise 0. */
+  readonly starting: number;
+}
+
 /** Load that a stream puts on the endpoints of its path. */
 export interface PathLoad {
   /** Puts the load on the stages of a granted path. */
@@ -30,15 +38,16 @@
 }): PathLoad {
   const {table, tokens, held, onCrossing} = options;
   let grantId: number | undefined;
-  let reservations: {state: EndpointState; tokenLayers: number}[] = [];
+  let reservations: Reservation[] = [];
   function release(): void {
     if (grantId !== undefined) held.release(grantId);
     grantId = undefined;
     clear();
   }
   function clear(): void {
-    for (const {state, tokenLayers} of reservations) {
+    for (const {state, tokenLayers, starting} of reservations) {
       state.running -= 1;
+      state.starting -= starting;
       state.heldTokenLayers -= tokenLayers;
     }
     reservations = [];
@@ -47,7 +56,7 @@
     clear();
     if (grantId !== undefined) held.set(grantId, tokens, stages);
     let domain: number | undefined;
-    for (const {endpoint, from, to} of stages) {
+    for (const [index, {endpoint, from, to}] of stages.entries()) {
       const state = table.get(endpoint);
       if (state === undefined) continue;
       if (domain !== undefined && domain !== state.domain) {
@@ -55,9 +64,11 @@
       }
       domain = state.domain;
       const tokenLayers = tokens * (to - from);
+      const starting = index === 0 ? 1 : 0;
       state.running += 1;
+      state.starting += starting;
       state.heldTokenLayers += tokenLayers;
-      reservations.push({state, tokenLayers});
+      reservations.push({state, tokenLayers, starting});
     }
   }
   return {
--- a/packages/gateway/test/choose-path.test.ts
+++ b/packages/gateway/test/choose-path.test.ts
@@ -47,6 +47,8 @@
     firstSeenAtMs: 0,
     isRestart: false,
     running: 0,
+    starting: 0,
+    othersStarting: 0,
     heldTokenLayers: 0,
     othersRunning: 0,
     othersTokenLayers: 0,
@@ -139,10 +141,10 @@
   const request = {...requestOf(1, 1), limitedBy: 'capacity'} as const;
   const chosen = choosePath(engines, profile, request)![0].endpoint;
   const busiest = firsts.find(({record: {id: name}}) => name === chosen)!;
-  busiest.othersRunning = profile.slots;
+  busiest.othersStarting = profile.slots;
   const next = choosePath(engines, profile, request)![0].endpoint;
   assert.notEqual(next, chosen);
-  for (const state of firsts) state.othersRunning = profile.slots;
+  for (const state of firsts) state.othersStarting = profile.slots;
   assert.equal(choosePath(engines, profile, request), undefined);
   // A free slot may be waited for.
   const waits = choosePath(engines, profile, {
@@ -163,15 +165,16 @@
       limitedBy: 'capacity',
     } as const;
     const path = choosePath(engines, {...profile, slots}, request)!;
-    for (const {endpoint} of path) {
+    for (const [index, {endpoint}] of path.entries()) {
       const state = engines.find(({record: {id: name}}) => name === endpoint)!;
       state.running += 1;
+      if (index === 0) state.starting += 1;
     }
   }
   const most = Math.max(
     ...engines
       .filter(({record: {layers}}) => layers?.from === 0)
-      .map(({running}) => running),
+      .map(({starting}) => starting),
   );
   assert.ok(most <= slots, `${most} streams begin at one engine`);
 });
