Close a socket that is reset while its end is being sent

Cause: resetAndDestroy() on a socket whose shutdown is pending does not close its handle, and Node's exit then runs its loop for ever (stack: Environment::CleanupHandles, uv_run). The class: a handle that nothing closes. The host resets connections in the same way (tunnels), where it would lose the descriptor.

--- a/packages/tunnels/src/reset-safe-stream.ts
+++ b/packages/tunnels/src/reset-safe-stream.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
+import {resetSocket} from './sockets.js';
 import type {FrameReader} from './frames.js';
 
 /**
@@ -55,7 +56,7 @@
     destroy(err, done) {
       // A partition keeps unsent bytes for later, unless the connection is reset.
       if (hasEnded) socket?.destroy();
-      else socket?.resetAndDestroy();
+      else if (socket !== undefined) resetSocket(socket);
       done(err);
     },
   });
@@ -105,7 +106,7 @@
 
   function attach(connection: Connection): void {
     const opened = connection.socket;
-    if (stream.destroyed) return void opened.resetAndDestroy();
+    if (stream.destroyed) return resetSocket(opened);
     ({socket, frames} = connection);
     opened.on('readable', readLater);
     opened.once('end', onSocketEnd);
--- a/packages/tunnels/src/sockets.ts
+++ b/packages/tunnels/src/sockets.ts
@@ -54,3 +54,17 @@
     return false;
   }
 }
+
+/**
+ * Resets a connection. While the end of its bytes is being sent it is closed instead: Node
+ * would leave the handle of the socket open, with its descriptor, and the process would spin
+ * when it exits.
+ *
+ * @example
+ * resetSocket(socket);
+ */
+export function resetSocket(socket: Socket): void {
+  const isEnding = socket.writableEnded && !socket.writableFinished;
+  if (isEnding) socket.destroy();
+  else socket.resetAndDestroy();
+}
--- a/packages/tunnels/src/tunnel-server.ts
+++ b/packages/tunnels/src/tunnel-server.ts
@@ -5,7 +5,7 @@
 import {readLine} from './read-line.js';
 import type {DirectPaths} from './direct-paths.js';
 import {createResetSafeStream} from './reset-safe-stream.js';
-import {openSocket} from './sockets.js';
+import {openSocket, resetSocket} from './sockets.js';
 
 /** A host sends the line as soon as it is connected. */
 const REQUEST_TIMEOUT_MS = 1_000;
@@ -85,7 +85,7 @@
   if (client.destroyed) return void socket.destroy();
   const endpoint = createResetSafeStream(Promise.resolve({socket}));
   client.write(formatReply('opened'));
-  endpoint.once('error', () => client.resetAndDestroy());
+  endpoint.once('error', () => resetSocket(client));
   client.once('close', () => endpoint.destroy());
   endpoint.pipe(createFrameWriter()).pipe(client);
   client.pipe(endpoint);
