Move the repair of a stream's path into a module of its own

Change: path-repair.ts chooses the new path and sends it to the first stage; the attempt keeps the decision to move, to go on or to end. No change of behaviour. Measured: the 30 tests of streams.test.ts and coordinator.test.ts pass.

--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -13,7 +13,7 @@
 import type {Exchange, ExchangeContext} from './exchange.js';
 import type {PathLoad} from './path-load.js';
 import type {PathFindings} from './path-probe.js';
-import {repairPath} from './repair-path.js';
+import {createPathRepair} from './path-repair.js';
 import {silenceBeforeProbeMs} from './stall.js';
 import type {EngineProfile, Headers} from './types.js';
 import type {UpstreamCall} from './upstream.js';
@@ -27,10 +27,6 @@
 const MAX_FIRST_SILENCE_MS = 6_000;
 /** Silence after which the path is probed as soon as one of its stages is suspected. */
 const SUSPECT_SILENCE_MS = 40;
-/** Maximum number of path repairs per attempt. */
-const MAX_REPAIRS = 4;
-/** Time for which an engine that refused a stream as full is avoided. */
-const FULL_BACKOFF_MS = 250;
 /**
  * Events of one attempt after which a response has really begun: a request that crashes
  * endpoints does so when they begin to write, and an event may still arrive before that
@@ -118,7 +114,6 @@
     let paused = false;
     /** Whether this host has lost the first stage since the connection was opened. */
     let isCutOff = false;
-    let repairs = 0;
     let attemptEvents = 0;
     let lastActivityMs = performance.now();
     let lastCheckMs = 0;
@@ -128,8 +123,19 @@
     /** Parts of the body that have arrived since the last event. */
     let parts = 0;
     const splitter = createEventSplitter();
-    const replaced = new Set<EndpointId>();
     let silenceTimer: NodeJS.Timeout | undefined;
+    const repairStages = createPathRepair({
+      exchange,
+      ctx,
+      profile,
+      pathRequest: options.pathRequest,
+      isEnded: () => ended,
+      describe: () => ({
+        events: progress.events,
+        silentMs: Math.round(performance.now() - lastActivityMs),
+        legMs: Math.round(performance.now() - attemptStartMs),
+      }),
+    });
 
     const finish = (outcome: StreamAttemptOutcome) => {
       if (ended) return;
@@ -418,51 +424,13 @@
 
     /** Moves the stream to a path without the failed stages, or ends the attempt. */
     async function repair(failedStages: readonly Stage[]): Promise<void> {
-      const suspect = ctx.table.get(failedStages[0].endpoint);
-      const reason = `stream stalled, no response from ${failedStages[0].endpoint}`;
-      repairs += 1;
-      for (const stage of failedStages) replaced.add(stage.endpoint);
-      const request = options.pathRequest();
-      const path =
-        repairs > MAX_REPAIRS
-          ? undefined
-          : repairPath(
-              stages,
-              new Set(failedStages.map(stage => stage.endpoint)),
-              ctx.table.usable(exchange.service.name),
-              profile,
-              {...request, exclude: new Set([...request.exclude, ...replaced])},
-            );
-      if (path === undefined) return abandon(reason, suspect);
-      const outcome = await ctx.control.repath(
-        {id: stages[0].endpoint, address: stages[0].address},
-        requestId,
-        path,
-        {fence: ctx.fence()},
-      );
-      if (ended) return;
-      ctx.log.event('pathChanged', {
-        requestId,
-        outcome: outcome.kind,
-        replaced: failedStages.map(stage => stage.endpoint).join(','),
-        path: path.map(item => item.endpoint).join(','),
-        events: progress.events,
-        silentMs: Math.round(performance.now() - lastActivityMs),
-        legMs: Math.round(performance.now() - attemptStartMs),
-      });
-      if (outcome.kind === 'accepted' || outcome.kind === 'done') {
-        stages = path;
-        load.move(path);
-        lastActivityMs = performance.now();
-        return;
-      }
-      const suspectStage = path.find(
-        ({address}) =>
-          outcome.kind === 'conflict' && address === outcome.suspectAddress,
-      );
-      if (suspectStage !== undefined)
-        return repairWithout(suspectStage, failedStages);
-      abandon(`repath: ${outcome.kind}`, suspect);
+      const outcome = await repairStages(stages, failedStages);
+      if (ended || outcome.kind === 'ended') return;
+      if (outcome.kind === 'failed')
+        return abandon(outcome.reason, outcome.suspect);
+      stages = outcome.stages;
+      load.move(stages);
+      lastActivityMs = performance.now();
     }
 
     /**
@@ -475,24 +443,5 @@
       if (suspect !== first && silentMs < MAX_SILENCE_MS) return;
       if (options.mayContinue()) abortWith({kind: 'broken', reason, suspect});
     }
-
-    /**
-     * Repairs the path again, without a stage of the new path that the first stage
-     * reported as the cause of a conflict.
-     */
-    function repairWithout(
-      suspectStage: Stage,
-      failedStages: readonly Stage[],
-    ): Promise<void> {
-      replaced.add(suspectStage.endpoint);
-      const state = ctx.table.get(suspectStage.endpoint);
-      if (state !== undefined) {
-        state.fullUntilMs = performance.now() + FULL_BACKOFF_MS;
-      }
-      const wasOnPath = stages.some(
-        stage => stage.endpoint === suspectStage.endpoint,
-      );
-      return repair(wasOnPath ? [...failedStages, suspectStage] : failedStages);
-    }
   });
 }
