Choose replacements by the memory of the whole engine

Cause: the repair of a path searched over records clipped to the missing layers, with a profile of as many layers. The memory for the KV cache followed from the clipped layers: too little because of the bytes per token and layer, too much because of the weights of the layers left out. Costs per layer were too high in the same way. As local repairs are limited by refusals only, this changed their ranking and no limit; repairs that are limited by capacity need the right one.

--- a/packages/gateway/src/choose-path.ts
+++ b/packages/gateway/src/choose-path.ts
@@ -69,6 +69,10 @@
   readonly limitedBy: 'capacity' | 'refusals' | 'nothing';
   /** Whether an endpoint takes one more request as the first stage; default all. */
   readonly mayStart?: (endpoint: EndpointId) => boolean;
+  /** Time until an endpoint has read the prompts it was given; default 0. */
+  readonly waitMs?: (endpoint: EndpointId) => number;
+  /** Layers that are needed, if they continue a stage before them; default all. */
+  readonly range?: {readonly from: number; readonly to: number};
 }
 
 /**
@@ -87,21 +91,29 @@
   request: PathRequest,
 ): Stage[] | undefined {
   const candidates: Candidate[] = [];
+  const offset = request.range?.from ?? 0;
+  const layerCount = (request.range?.to ?? profile.layers) - offset;
+  const stagesOf = (route: readonly Stage[]) =>
+    route.map(stage => ({
+      ...stage,
+      from: stage.from + offset,
+      to: stage.to + offset,
+    }));
   for (const state of endpoints) {
     const candidate = candidateOf(state, profile, request);
     if (candidate !== undefined) candidates.push(candidate);
   }
   const linkUs = createLinkCosts(profile, request);
   const search = (from: readonly Candidate[]) =>
-    searchRoute(from, {layers: profile.layers, linkUs});
+    searchRoute(from, {layers: layerCount, linkUs});
   if (request.sampleFraction < 1) {
     const route =
       search(sampleDomains(candidates, request)) ??
       search(sampleDomains(candidates, request));
-    if (route !== undefined) return [...route];
+    if (route !== undefined) return stagesOf(route);
   }
   const route = search(candidates);
-  return route === undefined ? undefined : [...route];
+  return route === undefined ? undefined : stagesOf(route);
 }
 
 /**
@@ -220,6 +232,17 @@
   return Math.max(0, freeBytes / (profile.tokenBytes / profile.layers));
 }
 
+/**
+ * Returns an engine's slowness according to its last report; 1 if that is too old.
+ *
+ * @example
+ * currentSlowness(state, performance.now());
+ */
+export function currentSlowness(state: EndpointState, nowMs: number): number {
+  const isValid = nowMs - state.slownessAtMs < SLOWNESS_VALID_MS;
+  return isValid ? Math.max(1, state.slowness) : 1;
+}
+
 function candidateOf(
   state: EndpointState,
   profile: EngineProfile,
@@ -230,7 +253,10 @@
   if (layers === undefined || kind === undefined) return undefined;
   const {promptTokens, outputTokens, missingHosts} = request;
   if (request.exclude.has(id)) return undefined;
-  const layerCount = layers.to - layers.from;
+  const {range = {from: 0, to: profile.layers}} = request;
+  const from = Math.max(layers.from, range.from) - range.from;
+  const to = Math.min(layers.to, range.to) - range.from;
+  if (from >= to) return undefined;
   const running = state.running * (1 + missingHosts) + state.othersRunning;
   const heldTokenLayers =
     state.heldTokenLayers * (1 + missingHosts) + state.othersTokenLayers;
@@ -242,13 +268,16 @@
         (profile.contextMsPerThousand * contextTokens) / 1_000);
   const prefillMs = promptTokens / (profile.prefillTokensPerS / 1_000);
   const decodeMs = outputTokens * stepMs * kind.pace;
-  const isSlow = request.nowMs - state.slownessAtMs < SLOWNESS_VALID_MS;
-  const slowness = isSlow ? Math.max(1, state.slowness) : 1;
+  const slowness = currentSlowness(state, request.nowMs);
   const allLayersMs =
     slowness *
     (decodeMs * (1 + PREFILL_SLOWDOWN * running) + prefillMs * kind.readFactor);
-  const capacity = tokenLayerCapacity(profile, accelerator, layerCount);
-  const neededTokenLayers = (promptTokens + outputTokens) * layerCount;
+  const capacity = tokenLayerCapacity(
+    profile,
+    accelerator,
+    layers.to - layers.from,
+  );
+  const neededTokenLayers = (promptTokens + outputTokens) * (to - from);
   const hasRefused = state.fullUntilMs > request.nowMs;
   if (hasRefused && request.limitedBy !== 'nothing') return undefined;
   // An empty engine is tried, because it may hold more than the estimate.
@@ -262,12 +291,13 @@
   );
   return {
     endpoint: {id, address, domain: state.domain},
-    from: layers.from,
-    to: layers.to,
+    from,
+    to,
     perLayerUs: (allLayersMs * US_PER_MS) / profile.layers,
-    fixedUs: STAGE_RISK_US,
+    fixedUs: STAGE_RISK_US + (request.waitMs?.(id) ?? 0) * US_PER_MS,
     mayBeFirst:
-      layers.from > 0 ||
+      from > 0 ||
+      request.range !== undefined ||
       request.limitedBy === 'nothing' ||
       (request.mayStart?.(id) !== false &&
         (request.limitedBy === 'refusals' ||
--- a/packages/gateway/src/repair-path.ts
+++ b/packages/gateway/src/repair-path.ts
@@ -29,34 +29,14 @@
       repaired.push(stage);
       continue;
     }
-    const cover = coverRange(stage, endpoints, profile, {...request, exclude});
+    const cover = choosePath(endpoints, profile, {
+      ...request,
+      exclude,
+      range: {from: stage.from, to: stage.to},
+    });
     if (cover === undefined) return undefined;
     for (const part of cover) exclude.add(part.endpoint);
     repaired.push(...cover);
   }
   return repaired;
 }
-
-/** Finds the best stages for a range of layers, by a search over clipped ranges. */
-function coverRange(
-  range: {from: number; to: number},
-  endpoints: readonly EndpointState[],
-  profile: EngineProfile,
-  request: PathRequest,
-): Stage[] | undefined {
-  const clipped = endpoints.flatMap(state => {
-    const {layers} = state.record;
-    if (layers === undefined) return [];
-    const from = Math.max(layers.from, range.from) - range.from;
-    const to = Math.min(layers.to, range.to) - range.from;
-    if (from >= to) return [];
-    return [{...state, record: {...state.record, layers: {from, to}}}];
-  });
-  const layers = range.to - range.from;
-  const stages = choosePath(clipped, {...profile, layers}, request);
-  return stages?.map(stage => ({
-    ...stage,
-    from: stage.from + range.from,
-    to: stage.to + range.from,
-  }));
-}
