--- a/packages/gateway/test/coordination.test.ts
+++ b/packages/gateway/test/coordination.test.ts
@@ -174,6 +174,38 @@
   assert.equal(retry.kind, 'no_retry');
 });
 
+test('coordination: the coordinator decides on a repair, or the host if none answers', async () => {
+  const hosts = await createFleetHosts(3);
+  const started = await Promise.all(hosts.map(host => startHost(host, hosts)));
+  const [first, second, third] = started;
+  const choice = await choose(third, first);
+  if (choice.kind !== 'path') return;
+  const {id: grantId, stages} = choice;
+  const askRepair = () =>
+    third.coordination.askRepair({
+      ...need(),
+      repair: {id: grantId, stages, replaced: [stages[1].endpoint]},
+      onGranted: () => {},
+    });
+  // No other engine holds the layers.
+  assert.deepEqual(await askRepair(), {kind: 'denied'});
+  third.table.remove(stages[1].endpoint);
+  for (const {table} of started)
+    table.upsert(
+      record('spare', '127.0.0.1:3', {
+        service: MODEL,
+        accelerator: 'card',
+        layers: {from: HALF, to: 2 * HALF},
+      }),
+    );
+  const granted = await askRepair();
+  assert.equal(granted.kind === 'granted' && granted.stages.length, 2);
+  assert.equal(first.table.get(id<EndpointId>('spare'))?.othersRunning, 1);
+  first.coordination.close();
+  second.coordination.close();
+  assert.deepEqual(await askRepair(), {kind: 'local'});
+});
+
 test('coordination: a standby that takes over grants only the retries that are left', async () => {
   const bounds = {extra: 40, windowMs: 2_000};
   const hosts = await createFleetHosts(3);
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -12,6 +12,7 @@
   header,
   loadFromOthers,
   MODEL,
+  PROFILE,
   record,
   route,
   startEndpoint,
@@ -267,6 +268,37 @@
   assert.equal(first.heads.length, 1);
 });
 
+test('streams: a repaired one is kept while the replacement reads the prompt', async () => {
+  const first = await startEndpoint((socket, head) => {
+    socket.write(start(head) + chunk(events(1, 3)));
+    resume = () =>
+      void setTimeout(() => socket.end(chunk(events(4, 5)) + END), 2_000);
+  });
+  let resume = () => {};
+  const second = await startEndpoint(resumes);
+  const {control} = createControl(
+    () => ['127.0.0.1:2'],
+    () => resume(),
+  );
+  // Half of the layers read the 100 tokens of the prompt in 3 s.
+  const profile = {...PROFILE, prefillTokensPerS: 50};
+  const engine = {name: MODEL, healthPath: '/health', engine: profile};
+  const {port, gateway} = await startHarness({
+    config: {...streamRoute(), services: new Map([[MODEL, engine]])},
+    control,
+    records: [
+      half('first', first.address, 0),
+      half('second', second.address, 0),
+      half('dead', '127.0.0.1:2', 40),
+      half('spare', '127.0.0.1:3', 40),
+    ],
+  });
+  for (const busy of ['second', 'spare']) loadFromOthers(gateway, busy);
+  const reply = await sendRequest(port);
+  assert.equal(reply.body, events(1, 5));
+  assert.equal(second.heads.length, 0);
+});
+
 test('streams: a stream with a dead first stage resumes on another path', async () => {
   const first = await startEndpoint((socket, head) => {
     socket.write(start(head) + chunk(events(1, 3)));
