--- a/packages/gateway/src/stall.ts
+++ b/packages/gateway/src/stall.ts
@@ -9,7 +9,10 @@
 const UNUSUAL_GAP_FACTOR = 4;
 /** Fraction of the gap goal after which a probe is always due. */
 const GAP_GOAL_FRACTION = 0.7;
-/** Limit on the time for which a replacement is expected to read the prompt. */
+/**
+ * Limit on the time for which a replacement is expected to read the prompt. The estimate may
+ * be wrong, and a stream must not wait for longer on a replacement that is lost.
+ */
 const MAX_READ_MS = 3_000;
 
 /**
--- a/packages/gateway/test/coordinator.test.ts
+++ b/packages/gateway/test/coordinator.test.ts
@@ -2,29 +2,28 @@
 // memory, pipes that are granted beyond their bandwidth, retries beyond the share of
 // a failure domain, and grants of a coordinator that does not know the load yet.
 import {
-  createRandom,
   createSilentLogger,
   id,
   type EndpointId,
   type FailureDomain,
   type HostId,
 } from '@chivewick/common';
-import {createRetryPool, type Grantor} from '@chivewick/coordination';
 import assert from 'node:assert/strict';
 import {beforeEach, mock, test} from 'node:test';
-import {createCoordinator} from '../src/coordination/coordinator.js';
 import type {PathAnswer, PathAsk} from '../src/coordination/messages.js';
 import {tokenLayerCapacity} from '../src/choose-path.js';
 import {createEndpointTable} from '../src/endpoint-table.js';
-import {config, MODEL, PROFILE, record} from './harness.js';
+import {
+  createTestCoordinator,
+  SELF,
+  WARM_UP_MS,
+} from './coordinator-harness.js';
+import {MODEL, PROFILE, record} from './harness.js';
 
-const SELF = id<HostId>('coordinator');
 const HOST = id<HostId>('entry');
-const GRANTOR = id<Grantor>('coordinator@1');
 const HALF = 40;
 const PROMPT_TOKENS = 774;
 const OUTPUT_TOKENS = 200;
-const WARM_UP_MS = 1_200;
 
 let nowMs = 0;
 beforeEach(() => {
@@ -47,29 +46,7 @@
       }),
     );
   }
-  const verified: EndpointId[] = [];
-  const retries = createRetryPool({
-    host: SELF,
-    startedAtMs: 1,
-    grantor: GRANTOR,
-    ratio: 0.2,
-    windowMs: 10_000,
-    own: () => [],
-  });
-  const coordinator = createCoordinator({
-    self: SELF,
-    table,
-    grantor: GRANTOR,
-    retries,
-    mayGrantRetries: () => true,
-    isAlone: () => false,
-    budget: {isAvailable: () => true, take: () => true},
-    config: () => config(),
-    localDomain: () => 0,
-    random: createRandom(1),
-    log: createSilentLogger(),
-    verify: state => verified.push(state.record.id),
-  });
+  const {coordinator, retries, verified} = createTestCoordinator(table);
   nowMs += WARM_UP_MS;
   return {coordinator, retries, table, verified};
 }
--- a/packages/gateway/test/repairs.test.ts
+++ b/packages/gateway/test/repairs.test.ts
@@ -7,13 +7,11 @@
   type EndpointId,
   type HostId,
 } from '@chivewick/common';
-import {createRetryPool, type Grantor} from '@chivewick/coordination';
 import type {Stage} from '@chivewick/engines';
 import assert from 'node:assert/strict';
 import {beforeEach, mock, test} from 'node:test';
 import {tokenLayerCapacity} from '../src/choose-path.js';
 import {createRepairAsker} from '../src/coordination/ask-repair.js';
-import {createCoordinator} from '../src/coordination/coordinator.js';
 import {createHeldPaths} from '../src/coordination/held-paths.js';
 import {
   parseAnswer,
@@ -22,6 +20,7 @@
 } from '../src/coordination/messages.js';
 import {createEndpointTable} from '../src/endpoint-table.js';
 import {repairPath} from '../src/repair-path.js';
+import {createTestCoordinator, WARM_UP_MS} from './coordinator-harness.js';
 import {config, MODEL, PROFILE, record} from './harness.js';
 
 const HALF = 40;
@@ -71,35 +70,10 @@
   add('first', 'fast', 0);
   for (const [index, kind] of replacements.entries())
     add(`${kind}${index}`, kind, HALF);
-  const self = id<HostId>('coordinator');
-  const grantor = id<Grantor>('coordinator@1');
-  const coordinator = createCoordinator({
-    self,
-    table,
-    grantor,
-    retries: createRetryPool({
-      host: self,
-      startedAtMs: 1,
-      grantor,
-      ratio: 0.2,
-      windowMs: 10_000,
-      own: () => [],
-    }),
-    mayGrantRetries: () => true,
-    isAlone: () => false,
-    budget: {isAvailable: () => true, take: () => true},
-    config: () =>
-      config({
-        services: new Map([
-          [MODEL, {name: MODEL, healthPath: '/health', engine: FLEET_PROFILE}],
-        ]),
-      }),
-    localDomain: () => 0,
-    random: createRandom(1),
-    log: createSilentLogger(),
-    verify: () => {},
-  });
-  nowMs += 1_200;
+  const engine = {name: MODEL, healthPath: '/health', engine: FLEET_PROFILE};
+  const services = new Map([[MODEL, engine]]);
+  const {coordinator} = createTestCoordinator(table, config({services}));
+  nowMs += WARM_UP_MS;
   return {coordinator, table};
 }
 
@@ -141,13 +115,8 @@
 }
 
 test('repairs: an engine with 200 streams is replaced within the memory of the others', async () => {
-  const {coordinator, table} = startCoordinator([
-    'fast',
-    'small',
-    'small',
-    'small',
-    'small',
-  ]);
+  const kinds = ['fast', 'small', 'small', 'small', 'small'];
+  const {coordinator, table} = startCoordinator(kinds);
   const hosts = Array.from({length: HOSTS}, (_, n) =>
     startHost(`h${n}`, ask => coordinator.answer(ask as never)),
   );
