--- a/packages/gateway/src/path-repair.ts
+++ b/packages/gateway/src/path-repair.ts
@@ -136,11 +136,10 @@
     const asked = await ask({...work, exclude}, stages, failed);
     const choice =
       asked.kind === 'local' ? chooseLocally({...work, exclude}) : asked;
-    const outcome = asked.kind === 'local' ? 'local' : asked.kind;
-    ctx.metrics.repairs.inc({outcome});
+    ctx.metrics.repairs.inc({outcome: asked.kind});
     ctx.log.event('repairChosen', {
       requestId,
-      outcome,
+      outcome: asked.kind,
       replaced: failed.join(','),
       readMs: 'readMs' in choice ? Math.round(choice.readMs) : undefined,
     });
