Bound what callers take of a host

Request bodies are collected in few buffers and charged to one byte budget per process; the request with the largest product of bytes and time is rejected with 503 when they run short. At most four requests of a connection are served at the same time, and 32 wait; connections are bounded by descriptors and memory, and closed if their responses stay unread for idleTimeoutMs. Bodies in chunks of a few bytes are read in turns, so that other requests are served in between.

--- a/packages/common/src/log-events/gateway.ts
+++ b/packages/common/src/log-events/gateway.ts
@@ -121,6 +121,16 @@
     level: 'info',
     message: 'request that had not really begun ended without a known crash',
   },
+  requestEvicted: {
+    number: 1050,
+    level: 'info',
+    message: 'request ended because bodies and responses take too many bytes',
+  },
+  callerClosed: {
+    number: 1051,
+    level: 'info',
+    message: 'connection of a caller closed to protect this host',
+  },
   linesDropped: {
     number: 1040,
     level: 'warn',
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,11 +1,14 @@
 import {parserFailure, sendErrorAndClose, type Logger} from '@chivewick/common';
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import type {Socket} from 'node:net';
+import type {HandleRequest} from './handle-request.js';
+import {
+  createByteBudget,
+  limitConnections,
+  NO_INTAKE_LIMITS,
+  type IntakeLimits,
+} from './intake/index.js';
+import type {GatewayMetrics} from './metrics.js';
 import {failureBody} from './responses.js';
 import type {CallerLimits} from './types.js';
 
@@ -40,11 +43,15 @@
  * callers.setLimits(config.limits);
  */
 export function createCallerServer(options: {
-  readonly handle: (req: IncomingMessage, res: ServerResponse) => Promise<void>;
+  readonly handle: HandleRequest;
   readonly log: Logger;
+  readonly metrics?: GatewayMetrics;
+  /** Limits on what all callers together may take. */
+  readonly intake?: IntakeLimits;
 }): CallerServer {
-  const {handle, log} = options;
-  let running = 0;
+  const {handle, log, metrics, intake = NO_INTAKE_LIMITS} = options;
+  let unreadMs = DEFAULT_LIMITS.idleTimeoutMs;
+  const now = () => performance.now();
   const server = createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -52,28 +59,49 @@
       noDelay: true,
     },
     (req, res) => {
-      running += 1;
-      res.once('close', () => (running -= 1));
-      handle(req, res).catch((err: unknown) => {
-        log.event('requestNotServed', {
-          error: 'internal',
-          message: String(err),
+      connections.take(req, res, charge => {
+        handle(req, res, charge).catch((err: unknown) => {
+          log.event('requestNotServed', {
+            error: 'internal',
+            message: String(err),
+          });
+          res.destroy();
         });
-        res.destroy();
       });
     },
   );
+  const budget = createByteBudget({
+    maxBytes: intake.maxBytes,
+    now,
+    onEvict(bytes) {
+      log.event('requestEvicted', {bytes, maxBytes: intake.maxBytes});
+      metrics?.intakeClosed.inc({reason: 'bytes'});
+    },
+  });
+  const connections = limitConnections({
+    server,
+    budget,
+    maxConnections: () => intake.maxConnections,
+    unreadMs: () => unreadMs,
+    now,
+    onClosed(reason, {remoteAddress: remote}) {
+      log.event('callerClosed', {reason, remote});
+      metrics?.intakeClosed.inc({reason});
+    },
+  });
+  metrics?.observeIntakeBytes(() => budget.total());
   server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
     rejectInput(err, socket as Socket, log),
   );
 
   function setLimits({idleTimeoutMs, headerTimeoutMs}: CallerLimits): void {
+    unreadMs = idleTimeoutMs;
     server.keepAliveTimeout = idleTimeoutMs;
     server.headersTimeout = headerTimeoutMs;
   }
 
   setLimits(DEFAULT_LIMITS);
-  return {server, running: () => running, setLimits};
+  return {server, running: () => connections.running(), setLimits};
 }
 
 /** Sends an error response for input that is not a request, and closes. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -262,7 +262,12 @@
     stopping: () => gracefulStop.isStopping(),
     accepts: (kind, durationMs) => gracefulStop.accepts(kind, durationMs),
   });
-  const callers = createCallerServer({handle, log});
+  const callers = createCallerServer({
+    handle,
+    log,
+    metrics,
+    intake: bounds.intake,
+  });
   const gracefulStop = createGracefulStop({
     callers,
     tunnels: () => tunnels?.running() ?? 0,
--- a/packages/gateway/src/handle-request.ts
+++ b/packages/gateway/src/handle-request.ts
@@ -11,6 +11,7 @@
 import type {ExchangeResult, Exchange, ExchangeContext} from './exchange.js';
 import type {Freshness} from './freshness.js';
 import {headerBytes} from './caller-server.js';
+import type {Charge} from './intake/index.js';
 import {readBody, type Body} from './read-body.js';
 import {pickTarget, type Routing} from './routing.js';
 import {servePlain} from './serve-plain.js';
@@ -42,6 +43,9 @@
 /** Short, because another host may serve the request immediately. */
 const ELSEWHERE_RETRY_AFTER_MS = 50;
 
+/** Time in which most bodies that arrive at the same time are served. */
+const EVICTED_RETRY_AFTER_MS = 1_000;
+
 /** Characters that Node's parser takes in a path, but that no request may be sent with. */
 const INVALID_PATH = /[^\x21-\xff]/;
 
@@ -59,6 +63,13 @@
   readonly accepts: (kind: RequestKind, durationMs: number) => boolean;
 }
 
+/** Handles a request, whose bytes are charged to `charge`. */
+export type HandleRequest = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  charge: Charge,
+) => Promise<void>;
+
 interface Admitted {
   readonly rule: RouteRule;
   readonly service: ServiceRule;
@@ -74,12 +85,10 @@
  * Creates the handler of callers' requests: it matches the route, checks the key,
  * reads the body and serves the request.
  */
-export function createRequestHandler(
-  options: HandlerOptions,
-): (req: IncomingMessage, res: ServerResponse) => Promise<void> {
+export function createRequestHandler(options: HandlerOptions): HandleRequest {
   const {ctx} = options;
 
-  return async (req, res) => {
+  return async (req, res, charge) => {
     const arrivedMs = performance.now();
     const facts = ctx.dialect.readRequest(req.headers);
     if (options.stopping()) res.setHeader('connection', 'close');
@@ -88,11 +97,15 @@
     const {rule: firstRule} = admission.value;
     const deadlineAtMs = arrivedMs + longestMs(firstRule, facts);
     const {limits} = options.routing()!.config;
-    const body = await readBody(req, {
-      maxBytes: limits.maxBodyBytes,
-      idleMs: limits.idleTimeoutMs,
-      untilMs: deadlineAtMs,
-    });
+    const body = await readBody(
+      req,
+      {
+        maxBytes: limits.maxBodyBytes,
+        idleMs: limits.idleTimeoutMs,
+        untilMs: deadlineAtMs,
+      },
+      charge,
+    );
     if (body.kind === 'aborted') {
       return ctx.log.event('callerLeft', {
         requestId: facts.requestId,
@@ -128,6 +141,9 @@
         ? await servePlain(exchange, ctx)
         : await serveStream(exchange, ctx, service.engine);
     finishExchange(exchange, result);
+    // The response takes the place of the body.
+    charge.set(res.writableLength);
+    charge.setEvict(() => res.req.socket.destroy());
   };
 
   function finishExchange(exchange: Exchange, result: ExchangeResult): void {
@@ -206,6 +222,11 @@
   if (body.kind === 'too_large') {
     return failure('body_too_large', `over ${maxBodyBytes} bytes`);
   }
+  if (body.kind === 'evicted') {
+    return failure('overloaded', 'the bodies of all requests need too much', {
+      retryAfterMs: EVICTED_RETRY_AFTER_MS,
+    });
+  }
   if (body.kind === 'too_slow') {
     return failure('request_timeout', 'the body did not arrive in time');
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,7 @@
 export * from './freshness.js';
 export * from './gateway.js';
 export * from './coordination/index.js';
+export * from './intake/limits.js';
 export * from './repair-path.js';
 export * from './retry-allowance.js';
 export * from './routing.js';
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,4 +1,4 @@
-import {Counter, Histogram, Registry} from 'prom-client';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Buckets around the latency goals: 100 ms for calls, 500 ms for streams. */
 const LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.5, 1, 2.5, 10, 20];
@@ -12,6 +12,9 @@
   readonly suspected: Counter;
   readonly retries: Counter<'result'>;
   readonly quarantined: Counter<'evidence'>;
+  readonly intakeClosed: Counter<'reason'>;
+  /** Exports the bytes that callers' requests hold. */
+  observeIntakeBytes(total: () => number): void;
 }
 
 /**
@@ -61,5 +64,21 @@
       labelNames: ['evidence'],
       registers,
     }),
+    intakeClosed: new Counter({
+      name: 'chivewick_gateway_intake_closed_total',
+      help: 'Requests and connections of callers closed to protect this process, by reason.',
+      labelNames: ['reason'],
+      registers,
+    }),
+    observeIntakeBytes(total) {
+      new Gauge({
+        name: 'chivewick_gateway_intake_bytes',
+        help: 'Bytes of request bodies and unsent responses.',
+        registers,
+        collect() {
+          this.set(total());
+        },
+      });
+    },
   };
 }
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -7,6 +7,7 @@
   WorkspaceId,
 } from '@chivewick/common';
 import type {LayerRange, Stage} from '@chivewick/engines';
+import type {IntakeLimits} from './intake/index.js';
 
 export type RouteName = Brand<'RouteName'>;
 
@@ -153,6 +154,8 @@
   readonly retryWindowMs: number;
   /** Retries per window allowed beyond the ratio, over all hosts. */
   readonly retryExtra: number;
+  /** What callers may take of the process; without limits if undefined. Read at the start. */
+  readonly intake?: IntakeLimits;
 }
 
 /** Facts that a caller states in the headers of a request. */
