Write long responses in parts, and describe the limits on callers

The kernel reports only whole writes as taken, so that a slow reader of one 8 MB write would seem to read nothing and be closed as unread.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -70,6 +70,8 @@
       readonly status: number;
       readonly sends: number;
       readonly stream?: StreamProgress;
+      /** Size of a response that is buffered whole. */
+      readonly bytes?: number;
     }
   | {readonly kind: 'caller_left'; readonly sends: number}
   | {readonly kind: 'failed'; readonly err: Failure; readonly sends: number}
--- a/packages/gateway/src/handle-request.ts
+++ b/packages/gateway/src/handle-request.ts
@@ -142,7 +142,8 @@
         : await serveStream(exchange, ctx, service.engine);
     finishExchange(exchange, result);
     // The response takes the place of the body.
-    charge.set(res.writableLength);
+    const wholeBytes = result.kind === 'served' ? (result.bytes ?? 0) : 0;
+    charge.set(Math.max(wholeBytes, res.writableLength));
     charge.setEvict(() => res.req.socket.destroy());
   };
 
--- a/packages/gateway/src/responses.ts
+++ b/packages/gateway/src/responses.ts
@@ -77,6 +77,32 @@
   }
 }
 
+/** Bytes that are given to the kernel at a time, so that its progress is seen. */
+const PART_BYTES = 65_536;
+
+/**
+ * Ends a response with a body. A long body is written in parts: the kernel reports only
+ * whole writes as taken, and a slow reader of one long write would seem to read nothing.
+ *
+ * @example
+ * endResponse(res, body);
+ */
+export function endResponse(res: ServerResponse, body: Buffer): void {
+  if (body.length <= PART_BYTES) {
+    res.end(body);
+    return;
+  }
+  let offset = 0;
+  const writeNext = (err?: Error | null) => {
+    if (err || res.destroyed) return;
+    const part = body.subarray(offset, offset + PART_BYTES);
+    offset += part.length;
+    if (offset >= body.length) res.end(part);
+    else res.write(part, writeNext);
+  };
+  writeNext();
+}
+
 /** The failure of a request that has not run and will not run on this host. */
 export function shuttingDown(): Failure {
   return failure('shutting_down', 'this host is shutting down');
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -1,6 +1,6 @@
 import {failure, type EndpointId, type Failure} from '@chivewick/common';
 import {UnreachableError} from '@chivewick/tunnels';
-import {shuttingDown, startResponse} from './responses.js';
+import {endResponse, shuttingDown, startResponse} from './responses.js';
 import {createAttempts} from './attempts.js';
 import {createByteBuffer} from './byte-buffer.js';
 import {chooseWithinLimits} from './choose-within-limits.js';
@@ -190,8 +190,9 @@
   startResponse(res, response.status, response.headers);
   const noBody = response.status === 204 || response.status === 304;
   if (!noBody) res.setHeader('content-length', response.body.length);
-  res.end(response.body);
-  return {kind: 'served', status: response.status, sends};
+  endResponse(res, response.body);
+  const bytes = response.body.length;
+  return {kind: 'served', status: response.status, sends, bytes};
 }
 
 function deadlineTooClose(): Failure {
--- /dev/null
+++ b/packages/gateway/test/intake.test.ts
@@ -0,0 +1,143 @@
+// Guards against a budget that evicts ordinary requests or loses bytes, bodies in more
+// buffers than they need, and connections that start all that is sent on them.
+import assert from 'node:assert/strict';
+import {createServer, type Server} from 'node:http';
+import {connect, type AddressInfo} from 'node:net';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+  createBodyBuffer,
+  createByteBudget,
+  createReadingTurns,
+  intakeLimits,
+  limitConnections,
+  type CloseReason,
+} from '../src/intake/index.js';
+import {until} from './harness.js';
+
+test('intake: the slowest and largest body is evicted, not one that just came', () => {
+  let nowMs = 0;
+  const evicted: string[] = [];
+  const budget = createByteBudget({maxBytes: 1_000, now: () => nowMs});
+  const open = (name: string, bytes: number) => {
+    const charge = budget.open();
+    charge.setEvict(() => evicted.push(name));
+    charge.add(bytes);
+    return charge;
+  };
+  open('slow and large', 600);
+  open('slow and small', 100);
+  nowMs = 1_000;
+  open('new and large', 350);
+  assert.deepEqual(evicted, ['slow and large']);
+  assert.equal(budget.total(), 450);
+});
+
+test('intake: a complete body is not evicted, and what needs more bytes is', () => {
+  const evicted: string[] = [];
+  const budget = createByteBudget({maxBytes: 1_000, now: () => 0});
+  const complete = budget.open();
+  complete.add(900);
+  const next = budget.open();
+  next.setEvict(() => evicted.push('next'));
+  next.add(200);
+  assert.deepEqual(evicted, ['next']);
+  complete.release();
+  complete.release();
+  assert.equal(budget.total(), 0);
+});
+
+test('intake: all bytes are released, in whatever order requests end', () => {
+  const step = fc.record({
+    request: fc.nat(4),
+    bytes: fc.nat(600),
+    end: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(fc.array(step), steps => {
+      const budget = createByteBudget({maxBytes: 1_000, now: () => 0});
+      const charges = Array.from({length: 5}, () => budget.open());
+      for (const charge of charges) charge.setEvict(() => charge.release());
+      for (const {request, bytes, end} of steps) {
+        if (end) charges[request].release();
+        else charges[request].add(bytes);
+        assert.ok(budget.total() <= 1_000);
+      }
+      for (const charge of charges) charge.release();
+      assert.equal(budget.total(), 0);
+    }),
+  );
+});
+
+test('intake: a body is the same in chunks of any size, in few buffers', () => {
+  for (const chunkBytes of [1, 1_000, 300_000]) {
+    let allocations = 0;
+    const body = createBodyBuffer(() => (allocations += 1));
+    const expected = Buffer.alloc(1_000_000, 'abcdefg');
+    for (let at = 0; at < expected.length; at += chunkBytes)
+      body.append(expected.subarray(at, at + chunkBytes));
+    assert.ok(body.take().equals(expected));
+    assert.ok(allocations < 15, `${allocations} buffers`);
+  }
+});
+
+test('intake: bodies in small chunks are read one at a time', () => {
+  const scheduled: (() => void)[] = [];
+  const turns = createReadingTurns(callback => scheduled.push(callback));
+  const reads: string[] = [];
+  turns.wait(() => reads.push('a'));
+  turns.wait(() => reads.push('b'));
+  scheduled.shift()!();
+  assert.deepEqual(reads, ['a']);
+  scheduled.shift()!();
+  assert.deepEqual(reads, ['a', 'b']);
+  assert.equal(scheduled.length, 0);
+});
+
+test('intake: the limits follow from the memory and the descriptors', () => {
+  const {maxBytes, maxConnections} = intakeLimits({memoryMb: 160, maxFds: 200});
+  assert.equal(Math.round(maxBytes), 16_777_216);
+  assert.equal(maxConnections, 100);
+  assert.equal(
+    intakeLimits({memoryMb: 160, maxFds: 9_000}).maxConnections,
+    640,
+  );
+});
+
+test('intake: a connection starts few requests, and unread ones are closed', async () => {
+  let nowMs = 0;
+  const closed: CloseReason[] = [];
+  const started: (() => void)[] = [];
+  const server: Server = createServer((req, res) =>
+    connections.take(req, res, () =>
+      started.push(() => void res.end('x'.repeat(8_000_000))),
+    ),
+  );
+  const connections = limitConnections({
+    server,
+    budget: createByteBudget({maxBytes: Infinity, now: () => nowMs}),
+    maxConnections: () => 2,
+    unreadMs: () => 1_000,
+    now: () => nowMs,
+    onClosed: reason => closed.push(reason),
+  });
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as AddressInfo;
+  const socket = connect(port, '127.0.0.1');
+  socket.pause();
+  socket.on('error', () => {});
+  socket.write('GET / HTTP/1.1\r\nhost: h\r\n\r\n'.repeat(6));
+  await until(() => connections.running() === 6);
+  assert.equal(started.length, 4);
+  started[0]();
+  connections.check();
+  nowMs = 500;
+  connections.check();
+  assert.deepEqual(closed, []);
+  nowMs = 2_000;
+  connections.check();
+  assert.deepEqual(closed, ['unread']);
+  await until(() => connections.running() === 0);
+  socket.destroy();
+  server.close();
+});
