Keep callers who pipeline or read slowly, in calm

Found by the review of the bounds on callers: five pipelined requests of 6 s each with part of a sixth got 408 after 4 s, which promises that the first, running one has not run; and steady readers of 20 and 60 KB/s of an 8 MB response were closed as unread after 15 to 22 s. Change: a head whose time runs out while this host has paused the connection is excused, and its time starts again when reading goes on; a connection with requests never gets an error of the parser; unread connections are closed after idleTimeoutMs only while over half of the byte budget is held, otherwise after the time in which the kernel's buffer empties at 16 KB/s.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -83,6 +83,7 @@
     budget,
     maxConnections: () => intake.maxConnections,
     unreadMs: () => unreadMs,
+    headerMs: () => server.headersTimeout,
     now,
     onClosed(reason, {remoteAddress: remote}) {
       log.event('callerClosed', {reason, remote});
@@ -90,9 +91,12 @@
     },
   });
   metrics?.observeIntakeBytes(() => budget.total());
-  server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
-    rejectInput(err, socket as Socket, log),
-  );
+  server.on('clientError', (err: NodeJS.ErrnoException, duplex) => {
+    const socket = duplex as Socket;
+    const isLate = err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+    if (isLate && connections.excusesLateHead(socket)) return;
+    rejectInput(err, {socket, isBusy: connections.isBusy(socket), log});
+  });
 
   function setLimits({idleTimeoutMs, headerTimeoutMs}: CallerLimits): void {
     unreadMs = idleTimeoutMs;
@@ -107,8 +111,7 @@
 /** Sends an error response for input that is not a request, and closes. */
 function rejectInput(
   err: NodeJS.ErrnoException,
-  socket: Socket,
-  log: Logger,
+  {socket, isBusy, log}: {socket: Socket; isBusy: boolean; log: Logger},
 ): void {
   if (err.code === 'ECONNRESET' || !socket.writable) {
     socket.destroy();
@@ -120,8 +123,9 @@
     message: err.message,
     remote: socket.remoteAddress,
   });
-  // The error must not be appended to a response in progress on this connection.
-  if (socket.bytesWritten > 0) {
+  // The error must not be appended to a response in progress on this connection, nor be
+  // taken for the response to a request that is running.
+  if (isBusy || socket.bytesWritten > 0) {
     socket.destroy();
     return;
   }
--- a/packages/gateway/src/intake/byte-budget.ts
+++ b/packages/gateway/src/intake/byte-budget.ts
@@ -17,6 +17,8 @@
 export interface ByteBudget {
   open(): Charge;
   total(): number;
+  /** Whether over half of the bytes are held. */
+  isShort(): boolean;
 }
 
 /**
@@ -103,5 +105,5 @@
     return charge;
   }
 
-  return {open, total: () => total};
+  return {open, isShort: () => total > maxBytes / 2, total: () => total};
 }
--- a/packages/gateway/src/intake/connections.ts
+++ b/packages/gateway/src/intake/connections.ts
@@ -9,11 +9,17 @@
  * read of 64 KB, before the connection can be paused, and take some KB each.
  */
 const MAX_WAITING = 32;
+/**
+ * Time after which a connection is closed whose responses are not read, while bytes are not
+ * short. The kernel reports a steady reader of 16 KB/s only once part of its buffer of up
+ * to 4 MB is free.
+ */
+const CALM_UNREAD_MS = 256_000;
 /** Interval of the check for unread responses. */
 const CHECK_MS = 1_000;
 
 /** Why a connection was closed. */
-export type CloseReason = 'pipelined' | 'unread' | 'connections';
+export type CloseReason = 'pipelined' | 'unread' | 'connections' | 'late_head';
 
 type Start = (charge: Charge) => void;
 
@@ -25,6 +31,8 @@
   /** Bytes that the kernel has taken, and since when it takes no more. */
   flushedBytes: number;
   flushedAtMs: number;
+  /** When a head must be complete whose time ran out while this host did not read. */
+  headerDueMs: number;
 }
 
 /** The connections of a server for callers. */
@@ -33,6 +41,13 @@
   take(req: IncomingMessage, res: ServerResponse, start: Start): void;
   /** Number of requests whose responses have not ended. */
   running(): number;
+  /** Whether a connection has requests that are running or wait. */
+  isBusy(socket: Socket): boolean;
+  /**
+   * Whether this host has stopped reading a connection, so that the head of a request may
+   * be late through no fault of the caller, who gets the time for it again.
+   */
+  excusesLateHead(socket: Socket): boolean;
   /** Closes connections whose responses stay unread; called at an interval. */
   check(): void;
 }
@@ -50,8 +65,13 @@
   readonly server: Server;
   readonly budget: ByteBudget;
   readonly maxConnections: () => number;
-  /** Time after which a connection is closed whose responses are not read. */
+  /**
+   * Time after which a connection is closed whose responses are not read, while bytes are
+   * short.
+   */
   readonly unreadMs: () => number;
+  /** Time for the head of a request. */
+  readonly headerMs: () => number;
   readonly now: () => number;
   readonly onClosed: (reason: CloseReason, socket: Socket) => void;
 }): Connections {
@@ -65,6 +85,7 @@
       idleSinceMs: now(),
       flushedBytes: 0,
       flushedAtMs: now(),
+      headerDueMs: Infinity,
     });
     socket.once('close', () => {
       const connection = connections.get(socket);
@@ -120,7 +141,10 @@
       const {res, start} = waiting.shift()!;
       begin(connection, {socket, res, start});
     }
-    if (waiting.length === 0) socket.resume();
+    if (waiting.length > 0) return;
+    if (connection.headerDueMs < Infinity)
+      connection.headerDueMs = now() + options.headerMs();
+    socket.resume();
   }
 
   function begin(
@@ -141,14 +165,21 @@
 
   function check(): void {
     const nowMs = now();
+    const calmMs = Math.max(CALM_UNREAD_MS, options.unreadMs());
+    const unreadMs = budget.isShort() ? options.unreadMs() : calmMs;
     for (const [socket, connection] of connections) {
+      const isReading = connection.waiting.length === 0;
+      if (isReading && nowMs > connection.headerDueMs) {
+        close('late_head', socket);
+        continue;
+      }
       const flushedBytes = socket.bytesWritten - socket.writableLength;
       const isRead =
         socket.writableLength === 0 || flushedBytes > connection.flushedBytes;
       if (isRead) {
         connection.flushedBytes = flushedBytes;
         connection.flushedAtMs = nowMs;
-      } else if (nowMs - connection.flushedAtMs > options.unreadMs()) {
+      } else if (nowMs - connection.flushedAtMs > unreadMs) {
         close('unread', socket);
       }
     }
@@ -156,6 +187,19 @@
 
   return {
     check,
+    isBusy(socket) {
+      const connection = connections.get(socket);
+      if (connection === undefined) return false;
+      return connection.charges.size + connection.waiting.length > 0;
+    },
+    excusesLateHead(socket) {
+      const connection = connections.get(socket);
+      if (connection === undefined || connection.waiting.length === 0)
+        return false;
+      // Set anew when reading goes on.
+      connection.headerDueMs = Number.MAX_VALUE;
+      return true;
+    },
     running() {
       let running = 0;
       for (const {charges, waiting} of connections.values())
@@ -168,6 +212,7 @@
       // The parser goes on with bytes that it has, also after the close.
       if (connection === undefined || socket.destroyed) return;
       const {charges, waiting} = connection;
+      connection.headerDueMs = Infinity;
       if (charges.size < MAX_RUNNING && waiting.length === 0)
         return begin(connection, {socket, res, start});
       if (waiting.length >= MAX_WAITING) return close('pipelined', socket);
