Keep the path of a stream that goes on while its repair is asked for

Found by the review of the repairs: between the check of the silent path and the order of the new one the host now asks the coordinator (up to 120 ms). A stream whose events came back in that time was moved all the same, and its prompt read again. Change: the load goes back to the old stages, and nothing is ordered. The new test fails without it (it gets 'moved').

--- a/packages/gateway/src/path-repair.ts
+++ b/packages/gateway/src/path-repair.ts
@@ -26,8 +26,9 @@
       readonly reason: string;
       readonly suspect?: EndpointState;
     }
-  /** The attempt ended meanwhile. */
-  | {readonly kind: 'ended'};
+  /** The attempt ended meanwhile, or events have arrived. */
+  | {readonly kind: 'ended'}
+  | {readonly kind: 'recovered'};
 
 /** Replacements that may be used, or why there are none. */
 type RepairPathChoice =
@@ -54,6 +55,8 @@
   readonly remainingWork: () => PathWork;
   /** Whether the attempt has ended. */
   readonly isEnded: () => boolean;
+  /** Whether events have arrived since the silence for which the path was checked. */
+  readonly hasRecovered: () => boolean;
   /** State of the attempt, for the log. */
   readonly describe: () => {
     readonly events: number;
@@ -93,6 +96,11 @@
     if (repairs >= MAX_REPAIRS) return {kind: 'failed', reason, suspect};
     const choice = await choose(stages, failedStages);
     if (options.isEnded()) return {kind: 'ended'};
+    if (options.hasRecovered()) {
+      if (choice.kind === 'granted') load.move(stages);
+      for (const stage of failedStages) replaced.delete(stage.endpoint);
+      return {kind: 'recovered'};
+    }
     if (choice.kind === 'denied') return {kind: 'failed', reason, suspect};
     repairs += 1;
     if (choice.kind === 'no_path') return {kind: 'failed', reason, suspect};
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -117,6 +117,8 @@
     let attemptEvents = 0;
     let lastActivityMs = performance.now();
     let lastCheckMs = 0;
+    /** `lastActivityMs` when the path was last checked. */
+    let checkedActivityMs = lastActivityMs;
     /** Time until which the replacement of a repair may read the prompt. */
     let readUntilMs = 0;
     const errorBody = createByteBuffer();
@@ -133,6 +135,7 @@
       load,
       remainingWork: options.remainingWork,
       isEnded: () => ended,
+      hasRecovered: () => paused || lastActivityMs !== checkedActivityMs,
       describe: () => ({
         events: progress.events,
         silentMs: Math.round(performance.now() - lastActivityMs),
@@ -384,9 +387,9 @@
       if (checking || ended || paused) return;
       if (leavesLostPath()) return;
       checking = true;
-      const activityMs = lastActivityMs;
+      checkedActivityMs = lastActivityMs;
       const findings = await ctx.probe.check(stages, requestId);
-      if (!ended && lastActivityMs === activityMs && !leavesLostPath())
+      if (!ended && lastActivityMs === checkedActivityMs && !leavesLostPath())
         await handleFindings(findings);
       lastCheckMs = performance.now();
       checking = false;
@@ -429,7 +432,8 @@
     /** Moves the stream to a path without the failed stages, or ends the attempt. */
     async function repair(failedStages: readonly Stage[]): Promise<void> {
       const outcome = await repairStages(stages, failedStages);
-      if (ended || outcome.kind === 'ended') return;
+      if (ended || outcome.kind === 'ended' || outcome.kind === 'recovered')
+        return;
       if (outcome.kind === 'failed')
         return abandon(outcome.reason, outcome.suspect);
       stages = outcome.stages;
--- a/packages/gateway/test/path-repair.test.ts
+++ b/packages/gateway/test/path-repair.test.ts
@@ -25,6 +25,7 @@
   const released: number[] = [];
   const metrics = createGatewayMetrics();
   let isEnded = false;
+  let hasRecovered = false;
   const context = {
     table: {get: () => undefined, usable: () => []},
     control: {repath: () => Promise.resolve({kind: outcomes.shift()})},
@@ -58,11 +59,13 @@
       exclude: new Set(),
     }),
     isEnded: () => isEnded,
+    hasRecovered: () => hasRecovered,
     describe: () => ({events: 3, silentMs: 100, legMs: 200}),
   });
   const end = () => void (isEnded = true);
+  const recover = () => void (hasRecovered = true);
   const run = () => repair(OLD, [OLD[1]]);
-  return {run, end, loads, released, metrics};
+  return {run, end, recover, loads, released, metrics};
 }
 
 const GRANTED: RepairChoice = {kind: 'granted', stages: NEW, readMs: 40};
@@ -88,6 +91,14 @@
   assert.deepEqual(loads, ['spare', 'lost']);
 });
 
+// A stage that responds again would be replaced, and the prompt read once more.
+test('path repair: a stream that goes on while the host asks stays on its path', async () => {
+  const {run, recover, loads} = startRepair([GRANTED], ['done']);
+  recover();
+  assert.deepEqual(await run(), {kind: 'recovered'});
+  assert.deepEqual(loads, ['spare', 'lost']);
+});
+
 test('path repair: a grant that arrives after the end is released', async () => {
   const {run, end, loads, released} = startRepair([GRANTED]);
   end();
