--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -34,7 +34,7 @@
    * through in spite of a suspicion keeps others back until its outcome is known.
    */
   rejectionOf(exchange: SuspectExchange): Rejection | undefined;
-  /** Notices that a request is over, whatever its outcome. */
+  /** Notices that a request is over, with any outcome. */
   finished(exchange: SuspectExchange): void;
   /** Records that a response was written, so that its request crashes no endpoint. */
   succeeded(exchange: SuspectExchange): void;
