Show requests lost by a stop while the store is silent

The holder of the lease waits up to 1.2 s for the store before it begins its stop, and is killed before it has answered what it accepted.

--- /dev/null
+++ b/review/left-out/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.mjs
