Discard input that arrives after a refusal

Cause: a refusal without a response object ends the sending half of the socket only. The parser of node:http stays attached, parses what arrives later, and the request is started.

Change: sendErrorAndClose takes the socket away from the parser, discards what arrives, and closes the connection after a second if the client does not.

--- a/packages/common/src/http-server.ts
+++ b/packages/common/src/http-server.ts
@@ -32,6 +32,9 @@
   ERR_HTTP_REQUEST_TIMEOUT: 'request_timeout',
 };
 
+/** Time in which a client can read a response before its connection is closed. */
+const LINGER_MS = 1_000;
+
 /**
  * Creates an HTTP server that responds with a JSON error where `node:http` itself
  * would send an empty response or close the connection: for bytes that are not
@@ -93,7 +96,8 @@
 }
 
 /**
- * Sends an error response on a socket that has no response object, and closes it.
+ * Sends an error response on a socket that has no response object, and closes it. Input
+ * that arrives later is discarded, so that no request runs after its refusal.
  *
  * @param value the JSON body.
  * @example
@@ -105,9 +109,23 @@
   value: object,
 ): void {
   if (!socket.writable) return void socket.destroy();
+  discardInput(socket);
   socket.end(formatErrorResponse(err, value));
 }
 
+/**
+ * Takes the socket away from the parser of `node:http`, which goes on after an error and
+ * after the end of the sending half. The parser reads the socket itself until the socket
+ * has another listener for its data.
+ */
+function discardInput(socket: Duplex): void {
+  socket.removeAllListeners('data');
+  socket.on('data', () => {});
+  socket.resume();
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS).unref();
+  socket.once('close', () => clearTimeout(timer));
+}
+
 function formatErrorResponse({kind}: Failure, value: object): string {
   const body = JSON.stringify(value);
   const lines = [
--- a/packages/gateway/test/callers.test.ts
+++ b/packages/gateway/test/callers.test.ts
@@ -107,6 +107,17 @@
   assert.equal(endpoint.heads.length, 0);
 });
 
+test('callers: a request that arrives after a 408 is not run', async () => {
+  const {port, endpoint} = await startLimited();
+  const {socket, reply} = send(port, HEAD);
+  await once(socket, 'data');
+  socket.write('\r\n0123456789');
+  socket.write(`${HEAD.replace('q1', 'q2')}\r\n0123456789`);
+  assert.match(await reply, /^HTTP\/1.1 408 /);
+  assert.equal((await sendRequest(port)).body, 'whole');
+  assert.equal(endpoint.heads.length, 1);
+});
+
 test('callers: a key that is removed while the body arrives is refused', async () => {
   const {port, endpoint, store, gateway} = await startLimited(undefined, {
     idleTimeoutMs: 5_000,
