Read connections before a head or a body counts as late

Cause: when a process wakes, timers run before sockets are read. The check for late heads and the time limit of a body then count the suspension of the host against the caller, while the bytes wait in the kernel.

Change: a late head or body is looked at once more after the sockets have been read.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -93,11 +93,20 @@
   metrics?.observeIntakeBytes(() => budget.total());
   server.on('clientError', (err: NodeJS.ErrnoException, duplex) => {
     const socket = duplex as Socket;
-    const isLate = err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
-    if (isLate && connections.excusesLateHead(socket)) return;
-    rejectInput(err, {socket, isBusy: connections.isBusy(socket), log});
+    if (err.code !== 'ERR_HTTP_REQUEST_TIMEOUT') return reject(err, socket);
+    if (connections.excusesLateHead(socket)) return;
+    const taken = connections.taken(socket);
+    // After a suspension of this process timers run before sockets are read, so that the
+    // head may have arrived in time. Immediate callbacks run after the sockets are read.
+    setImmediate(() => {
+      if (connections.taken(socket) === taken) reject(err, socket);
+    });
   });
 
+  function reject(err: NodeJS.ErrnoException, socket: Socket): void {
+    rejectInput(err, {socket, isBusy: connections.isBusy(socket), log});
+  }
+
   function setLimits({idleTimeoutMs, headerTimeoutMs}: CallerLimits): void {
     unreadMs = idleTimeoutMs;
     server.keepAliveTimeout = idleTimeoutMs;
--- a/packages/gateway/src/intake/connections.ts
+++ b/packages/gateway/src/intake/connections.ts
@@ -26,6 +26,8 @@
 interface Connection {
   readonly charges: Set<Charge>;
   readonly waiting: {res: ServerResponse; start: Start}[];
+  /** Number of requests that have arrived. */
+  taken: number;
   /** Time since which the connection has no request. */
   idleSinceMs: number;
   /** Bytes that the kernel has taken, and since when it takes no more. */
@@ -41,6 +43,8 @@
   take(req: IncomingMessage, res: ServerResponse, start: Start): void;
   /** Number of requests whose responses have not ended. */
   running(): number;
+  /** Number of requests that have arrived on a connection. */
+  taken(socket: Socket): number;
   /** Whether a connection has requests that are running or wait. */
   isBusy(socket: Socket): boolean;
   /**
@@ -82,6 +86,7 @@
     connections.set(socket, {
       charges: new Set(),
       waiting: [],
+      taken: 0,
       idleSinceMs: now(),
       flushedBytes: 0,
       flushedAtMs: now(),
@@ -187,6 +192,7 @@
 
   return {
     check,
+    taken: socket => connections.get(socket)?.taken ?? 0,
     isBusy(socket) {
       const connection = connections.get(socket);
       if (connection === undefined) return false;
@@ -212,6 +218,7 @@
       // The parser goes on with bytes that it has, also after the close.
       if (connection === undefined || socket.destroyed) return;
       const {charges, waiting} = connection;
+      connection.taken += 1;
       connection.headerDueMs = Infinity;
       if (charges.size < MAX_RUNNING && waiting.length === 0)
         return begin(connection, {socket, res, start});
--- a/packages/gateway/src/read-body.ts
+++ b/packages/gateway/src/read-body.ts
@@ -68,11 +68,19 @@
       socket.off('resume', pauseAgain);
       resolve(body);
     };
+    const timeLeftMs = () =>
+      Math.min(lastByteMs + idleMs, untilMs) - performance.now();
     // A new timer for each byte would take most of the time of a body in small chunks.
     const checkTime = () => {
-      const leftMs = Math.min(lastByteMs + idleMs, untilMs) - performance.now();
-      if (leftMs <= 0) return finish({kind: 'too_slow'});
-      timer = setTimeout(checkTime, leftMs);
+      const leftMs = timeLeftMs();
+      if (leftMs > 0) timer = setTimeout(checkTime, leftMs);
+      // After a suspension of this process timers run before sockets are read.
+      else setImmediate(checkTimeAfterRead);
+    };
+    const checkTimeAfterRead = () => {
+      if (isFinished) return;
+      if (timeLeftMs() <= 0) return finish({kind: 'too_slow'});
+      checkTime();
     };
     const append = (chunk: Buffer) => {
       lastByteMs = performance.now();
--- a/packages/gateway/test/callers.test.ts
+++ b/packages/gateway/test/callers.test.ts
@@ -28,6 +28,14 @@
 const HEAD =
   'POST /x HTTP/1.1\r\nhost: h\r\nrequest-id: q1\r\ncontent-length: 10\r\n';
 
+/** Interval at which the server checks for late heads. */
+const CHECK_INTERVAL_MS = 1_000;
+
+/** Stands for a suspension of this process. */
+function blockProcess(durationMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+}
+
 async function startLimited(behavior = respond('whole'), limits = {}) {
   const endpoint = await startEndpoint(behavior);
   const harness = await startHarness({
@@ -118,6 +126,33 @@
   assert.equal(endpoint.heads.length, 1);
 });
 
+// The connections are checked for late heads before they are read, when a process wakes.
+test('callers: a head that this host was too slow to read is served', async () => {
+  const {port, endpoint} = await startLimited();
+  const socket = connect(port, '127.0.0.1');
+  await once(socket, 'connect');
+  await sendRequest(port);
+  const reply = new Promise<string>(done =>
+    socket.once('data', bytes => done(bytes.toString())),
+  );
+  socket.write(`${HEAD.replace('q1', 'q2')}\r\n0123456789`);
+  blockProcess(CHECK_INTERVAL_MS + LIMITS.headerTimeoutMs);
+  assert.match(await reply, /^HTTP\/1.1 200 /);
+  assert.equal(endpoint.heads.length, 2);
+  socket.destroy();
+});
+
+test('callers: a body that this host was too slow to read is served', async () => {
+  const {port, endpoint} = await startLimited();
+  const {socket, reply} = send(port, `${HEAD}connection: close\r\n\r\n0123`);
+  await once(socket, 'connect');
+  await sendRequest(port);
+  socket.write('456789');
+  blockProcess(2 * LIMITS.idleTimeoutMs);
+  assert.match(await reply, /^HTTP\/1.1 200 /);
+  assert.equal(endpoint.heads.length, 2);
+});
+
 test('callers: a key that is removed while the body arrives is refused', async () => {
   const {port, endpoint, store, gateway} = await startLimited(undefined, {
     idleTimeoutMs: 5_000,
