Start no request behind a response that closes its connection

A client that pipelines more requests than run at a time could have the waiting ones run although their connection was being closed, so that nobody got their responses.

Cause: a waiting request starts when an earlier response has ended, also if that response has said `connection: close`, until the socket is destroyed.

Change: a connection whose closing response has ended starts no request.

--- a/packages/gateway/src/intake/connections.ts
+++ b/packages/gateway/src/intake/connections.ts
@@ -28,6 +28,8 @@
   readonly waiting: {res: ServerResponse; start: Start}[];
   /** Number of requests that have arrived. */
   taken: number;
+  /** Whether the response after which the connection is closed has ended. */
+  isEnding: boolean;
   /** Time since which the connection has no request. */
   idleSinceMs: number;
   /** Bytes that the kernel has taken, and since when it takes no more. */
@@ -87,6 +89,7 @@
       charges: new Set(),
       waiting: [],
       taken: 0,
+      isEnding: false,
       idleSinceMs: now(),
       flushedBytes: 0,
       flushedAtMs: now(),
@@ -141,7 +144,7 @@
 
   function startWaiting(socket: Socket, connection: Connection): void {
     const {charges, waiting} = connection;
-    if (waiting.length === 0) return;
+    if (waiting.length === 0 || connection.isEnding) return;
     while (waiting.length > 0 && charges.size < MAX_RUNNING) {
       const {res, start} = waiting.shift()!;
       begin(connection, {socket, res, start});
@@ -163,6 +166,7 @@
       charge.release();
       connection.charges.delete(charge);
       if (connection.charges.size === 0) connection.idleSinceMs = now();
+      if (res.getHeader('connection') === 'close') connection.isEnding = true;
       if (!socket.destroyed) startWaiting(socket, connection);
     });
     start(charge);
@@ -217,6 +221,8 @@
       const connection = connections.get(socket);
       // The parser goes on with bytes that it has, also after the close.
       if (connection === undefined || socket.destroyed) return;
+      // Nothing is sent after that response, so a request must not run any more.
+      if (connection.isEnding) return;
       const {charges, waiting} = connection;
       connection.taken += 1;
       connection.headerDueMs = Infinity;
--- a/packages/gateway/test/callers.test.ts
+++ b/packages/gateway/test/callers.test.ts
@@ -30,6 +30,7 @@
 
 /** Interval at which the server checks for late heads. */
 const CHECK_INTERVAL_MS = 1_000;
+const MAX_RUNNING_PER_CONNECTION = 4;
 
 /** Stands for a suspension of this process. */
 function blockProcess(durationMs: number): void {
@@ -153,6 +154,21 @@
   assert.equal(endpoint.heads.length, 2);
 });
 
+test('callers: a request that waits behind a closing response is not run', async () => {
+  const {port, endpoint, gateway} = await startLimited((socket, head) => {
+    setTimeout(() => respond('whole')(socket, head), 50);
+  });
+  const socket = connect(port, '127.0.0.1');
+  await once(socket, 'connect');
+  await sendRequest(port);
+  void gateway.stop();
+  const whole = `${HEAD}\r\n0123456789`;
+  socket.write(whole.repeat(MAX_RUNNING_PER_CONNECTION + 2));
+  socket.resume();
+  await once(socket, 'close');
+  assert.equal(endpoint.heads.length, 1 + MAX_RUNNING_PER_CONNECTION);
+});
+
 test('callers: a key that is removed while the body arrives is refused', async () => {
   const {port, endpoint, store, gateway} = await startLimited(undefined, {
     idleTimeoutMs: 5_000,
