Send no parse error as the response of a request that runs

A client of the daemon that sent bytes which are not HTTP, or an unfinished head, behind a running request got 400 or 408 "not_run" as the response to that request.

Cause: createJsonServer answers a parse error on the socket, whether or not a request of the connection is running.

Change: the connection is closed if one of its requests has no complete response yet.

Evidence: the new test gets "400 invalid_request" before the change, nothing after it.

--- a/packages/common/src/http-server.ts
+++ b/packages/common/src/http-server.ts
@@ -54,9 +54,14 @@
     });
     res.end(JSON.stringify(errorBody(err)));
   };
+  /** Requests of each connection whose responses have not ended. */
+  const running = new WeakMap<Duplex, number>();
   const server = createServer(
     {...options.limits, requireHostHeader: false},
     (req, res) => {
+      const {socket} = req;
+      running.set(socket, (running.get(socket) ?? 0) + 1);
+      res.once('close', () => running.set(socket, running.get(socket)! - 1));
       if (req.headers.host === undefined && req.httpVersion === '1.1')
         return sendError(
           res,
@@ -78,6 +83,8 @@
     sendErrorAndClose(socket, err, errorBody(err));
   });
   server.on('clientError', (err: Error & {code?: string}, socket) => {
+    // The error would be taken for the response to the request that is running.
+    if ((running.get(socket) ?? 0) > 0) return void socket.destroy();
     const parserErr = parserFailure(err);
     sendErrorAndClose(socket, parserErr, errorBody(parserErr));
   });
--- a/packages/common/test/http-server.test.ts
+++ b/packages/common/test/http-server.test.ts
@@ -1,4 +1,5 @@
-// Guards against requests that run after the server has refused them.
+// Guards against requests that run after the server has refused them, or that are refused
+// while they run.
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
@@ -55,3 +56,11 @@
   assert.match(await reply, /^HTTP\/1.1 408 /);
   assert.equal(responses.length, 0);
 });
+
+test('http-server: a refusal is not sent for a request that runs', async () => {
+  const {socket, responses} = await start();
+  socket.write(`${HEAD}\r\n`);
+  while (responses.length === 0) await new Promise(done => setImmediate(done));
+  socket.write('not HTTP\r\n\r\n');
+  assert.equal(await replyTo(socket), '');
+});
