Keep only the last change of each object for other hosts

Cause: the change log keeps up to 1,000 changes of a kind with their values, whatever their size. All routes are in one object, so that each version since the start of the process is kept, though a host that is behind needs the newest only.

Change: the log keeps the last change of each object. Its value is that of the listing; only the keys of removed objects, 1,000 at most, take memory of their own.

The new test with 400 versions in a worker of 96 MB ends by its memory limit before the change.

--- a/packages/feed-relay/src/change-log.ts
+++ b/packages/feed-relay/src/change-log.ts
@@ -12,8 +12,9 @@
 } from '@chivewick/platform';
 
 /**
- * Changes kept per kind for hosts that are behind; a host that is further behind
- * lists all objects again.
+ * Objects of a kind whose last change is kept for hosts that are behind; a host that is
+ * further behind lists all objects again. A change shares its value with the listing, so
+ * that only the keys of removed objects take memory of their own.
  */
 const MAX_CHANGES = 1_000;
 
@@ -69,7 +70,11 @@
   let version = 0;
   /** Version after which `recent` is complete. */
   let recentSince = 0;
-  let recent: RecordedChange[] = [];
+  /**
+   * The last change of each object, in the order of the changes. Earlier versions of an
+   * object are dropped: a configuration may have hundreds of versions of a megabyte.
+   */
+  let recent = new Map<string, RecordedChange>();
   let confirmation: Confirmation | undefined;
   let failure: string | undefined;
   const waiting = new Set<() => void>();
@@ -89,7 +94,7 @@
       objects = new Map(listing.objects.map(object => [object.key, object]));
       version = listing.version;
       recentSince = version;
-      recent = [];
+      recent = new Map();
       confirm(mark, listing.confirmedAfterMs);
     }
     wake();
@@ -113,8 +118,12 @@
     const {key, value} = change;
     if (value === undefined) objects?.delete(key);
     else objects?.set(key, {...change, value});
-    recent.push({change, asOf});
-    if (recent.length > MAX_CHANGES) recentSince = recent.shift()!.asOf;
+    recent.delete(key);
+    recent.set(key, {change, asOf});
+    if (recent.size <= MAX_CHANGES) return;
+    const [[oldestKey, oldest]] = recent;
+    recent.delete(oldestKey);
+    recentSince = oldest.asOf;
   }
 
   /** Time from `atMs` to the last confirmation; negative if it was before. */
@@ -133,7 +142,7 @@
     if (since < recentSince) return {kind: 'history_lost'};
     return {
       kind: 'changes',
-      changes: recent
+      changes: [...recent.values()]
         .filter(({asOf}) => asOf > since)
         .map(({change}) => change),
       version: Math.max(version, since),
--- a/packages/feed-relay/test/change-log.test.ts
+++ b/packages/feed-relay/test/change-log.test.ts
@@ -1,7 +1,10 @@
 // Guards against old contents of one host that others take for new ones.
 import type {Clocks} from '@chivewick/common';
+import type {ObjectChange} from '@chivewick/platform';
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {test} from 'node:test';
+import {Worker} from 'node:worker_threads';
 import fc from 'fast-check';
 import {createChangeLog} from '../src/index.js';
 
@@ -109,6 +112,37 @@
   assert.equal((await next).kind, 'changes');
 });
 
+test('change log: a host that is behind gets the last change of each object', async () => {
+  const log = createChangeLog(createClocks().clocks);
+  log.begin().listed({
+    objects: [object('a', 2), object('b', 3)],
+    version: 7,
+    confirmedAfterMs: 0,
+  });
+  const poll = (version: number, ...changes: ObjectChange[]) =>
+    log
+      .begin()
+      .polled({kind: 'changes', changes, version, confirmedAfterMs: 0});
+  poll(9, object('a', 8), object('b', 9));
+  poll(11, {key: 'k/b', version: 9}, object('a', 11));
+  poll(12, object('b', 12));
+  const changesSince = async (since: number) => {
+    const batch = await log.changes(since, 0);
+    return batch.kind === 'changes' && batch.changes;
+  };
+  assert.deepEqual(await changesSince(7), [object('a', 11), object('b', 12)]);
+  assert.deepEqual(await changesSince(11), [object('b', 12)]);
+  assert.deepEqual(await changesSince(12), []);
+});
+
+test('change log: versions of an object do not add up in memory', async () => {
+  const worker = new Worker(new URL('change-log-dose.js', import.meta.url), {
+    resourceLimits: {maxOldGenerationSizeMb: 96, maxYoungGenerationSizeMb: 8},
+  });
+  const [code] = (await once(worker, 'exit')) as [number];
+  assert.equal(code, 0);
+});
+
 /** Tolerance of clock marks for suspensions, in milliseconds. */
 const CLOCK_DRIFT_MS = 150;
 
