Keep no bodies of requests that may have crashed an endpoint

A host kept the whole request, with a body of up to 4 MB, for up to 32 requests of each endpoint that cut off or did not answer, for ten seconds: 256 MB with 8 endpoints and bodies of 1 MB, where a host has 350 MB in all. The byte budget of callers does not count them, as their responses have ended.

Cause: a suspect refers to its exchange in order to be found again when the request ends. The number of suspects is bounded, and not what each costs.

Change: a suspect has a key of its own in place of the exchange.

Evidence: the new test finds 256,000,004 bytes kept before the change, and none of the bodies after it.

--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -80,7 +80,8 @@
 
 /** A request that may have ended a run of an endpoint. */
 interface Suspect extends SuspectRequest {
-  readonly exchange: SuspectExchange;
+  /** Identifies the request, which itself has its whole body. */
+  readonly key: object;
 }
 
 /**
@@ -113,9 +114,18 @@
     onEnded: recordCrash,
   });
 
+  const keys = new WeakMap<SuspectExchange, object>();
+
+  function keyOf(exchange: SuspectExchange): object {
+    const key = keys.get(exchange) ?? {};
+    keys.set(exchange, key);
+    return key;
+  }
+
   function suspectOf(exchange: SuspectExchange, hasBegun: boolean): Suspect {
     const request = digestOf(exchange);
-    return {exchange, request, hasBegun, parts: partsOf(exchange)};
+    const key = keyOf(exchange);
+    return {key, request, hasBegun, parts: partsOf(exchange)};
   }
 
   function recordCrash(
@@ -144,12 +154,14 @@
       const ended = trials.get(exchange);
       if (ended === undefined) return;
       trials.delete(exchange);
+      const key = keyOf(exchange);
       // The endpoint may still crash.
-      if (watch.has(suspect => suspect.exchange === exchange)) return;
+      if (watch.has(suspect => suspect.key === key)) return;
       for (const fingerprint of ended) evidence.endTrial(fingerprint);
     },
     succeeded(exchange) {
-      watch.forget(suspect => suspect.exchange === exchange);
+      const key = keyOf(exchange);
+      watch.forget(suspect => suspect.key === key);
       evidence.recordSuccess(partsOf(exchange), () => digestOf(exchange));
     },
     async disconnected(exchange, state, hasBegun) {
