Drop engine reports that are not reused any more

A host kept the last report of each address that an engine has ever had, with the requests that it listed as stalled.

Cause: a report is used for 0.4 s and replaced only by the next one of its address.

Change: reports that are too old to be reused are dropped with the next probe.

--- a/packages/gateway/src/path-probe.ts
+++ b/packages/gateway/src/path-probe.ts
@@ -70,11 +70,11 @@
   function requestReport(
     stage: Stage,
   ): Promise<EngineReport | undefined | 'not asked'> {
-    const known = sharedReports.get(stage.address);
     const nowMs = performance.now();
-    if (known !== undefined && nowMs - known.atMs < REPORT_REUSE_MS) {
-      return known.report;
-    }
+    for (const [address, {atMs}] of sharedReports)
+      if (nowMs - atMs >= REPORT_REUSE_MS) sharedReports.delete(address);
+    const known = sharedReports.get(stage.address);
+    if (known !== undefined) return known.report;
     if (!mayProbe()) return Promise.resolve('not asked');
     const report = control.report(stage.address, PROBE_TIMEOUT_MS);
     sharedReports.set(stage.address, {atMs: nowMs, report});
--- /dev/null
+++ b/packages/gateway/test/path-probe.test.ts
@@ -0,0 +1,50 @@
+// Guards against reports that are kept for each address that an engine has ever had.
+import {createSilentLogger, id, type EndpointId} from '@chivewick/common';
+import type {Stage} from '@chivewick/engines';
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {createEndpointTable} from '../src/endpoint-table.js';
+import {createPathProbe} from '../src/path-probe.js';
+import type {EngineControl, EngineReport} from '../src/types.js';
+
+/** Stands for the requests that an engine reports as stalled. */
+const REPORT_BYTES = 1_000_000;
+const PROBES = 20;
+/** Longer than a report is used for other streams. */
+const REUSE_MS = 450;
+
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
+test('path-probe: reports of earlier addresses are not kept', async () => {
+  const control = {
+    report: () =>
+      Promise.resolve({
+        slowness: 1,
+        stalled: [],
+        bytes: new ArrayBuffer(REPORT_BYTES),
+      } as unknown as EngineReport),
+  } as unknown as EngineControl;
+  const table = createEndpointTable(createSilentLogger(), () => 2_000);
+  const probe = createPathProbe(control, table, () => 1);
+  const check = (port: number) =>
+    probe.check(
+      [
+        {
+          endpoint: id<EndpointId>(`e${port}`),
+          address: `10.1.64.9:${port}`,
+        } as Stage,
+      ],
+      'r',
+    );
+  collectGarbage();
+  const before = process.memoryUsage().arrayBuffers;
+  for (let port = 1; port <= PROBES; port++) await check(port);
+  await new Promise(done => setTimeout(done, REUSE_MS));
+  await check(PROBES + 1);
+  collectGarbage();
+  const keptBytes = process.memoryUsage().arrayBuffers - before;
+  assert.ok(keptBytes < 4 * REPORT_BYTES, `${keptBytes} bytes are kept`);
+});
