Take no response whose status cannot end one

A replica in trouble that sent a response with status 000 or 099 made the host close the caller's connection without an answer, also for requests that may be repeated, and the response counted as a success of the endpoint.

Cause: Node's parser takes any three digits as a status, and no part of the gateway checks them. A status below 100 throws when the response is written; 101 without an upgrade is reported like any response.

Change: the client for endpoints fails a response with a status outside 200 to 599, before anything else of it is read. Such a request may have run: it is answered 502, or sent again if that is allowed.

--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -90,6 +90,10 @@
       call.once('response', response => {
         res = response;
         if (done) return;
+        if (!endsResponse(response.statusCode)) {
+          fail(new Error(`response with status ${response.statusCode}`));
+          return void call.destroy();
+        }
         // Listeners are added first, because `answered` may abort the call.
         response.on('data', (chunk: Buffer) => {
           if (!done) events.data(chunk);
@@ -141,6 +145,14 @@
   };
 }
 
+/**
+ * Whether a status may stand in a final response. The parser also takes statuses outside
+ * 100 to 599, which are invalid (RFC 9110, section 15) and cannot be forwarded.
+ */
+function endsResponse(status = 0): boolean {
+  return status >= 200 && status <= 599;
+}
+
 /** Whether a response has neither a length nor chunks (RFC 9112, section 6.3). */
 function endsWithConnection({statusCode, headers}: IncomingMessage): boolean {
   if (statusCode === 204 || statusCode === 304) return false;
--- a/packages/gateway/test/broken-heads.test.ts
+++ b/packages/gateway/test/broken-heads.test.ts
@@ -88,6 +88,45 @@
     if (kind === 'once') assert.equal(endpoint.heads.length, 1);
   });
 
+/** Statuses that end no response: none of HTTP, interim ones, and a change of protocol. */
+const NO_FINAL_STATUSES = ['000', '099', '101', '199', '600', '999'];
+
+for (const status of NO_FINAL_STATUSES)
+  for (const kind of ['once', 'repeatable', 'stream'] as const)
+    test(`broken heads: a ${kind} request gets no response with status ${status}`, async () => {
+      const broken = respond('x', `${status} Status`);
+      let isFirst = true;
+      const once: Behavior = (socket, head) => {
+        const act = isFirst ? broken : respond(event(1));
+        isFirst = false;
+        act(socket, head);
+      };
+      const endpoints = await Promise.all([
+        startEndpoint(once),
+        startEndpoint(once),
+      ]);
+      const send = await start(kind, endpoints);
+      const reply = await send('q1');
+      const sends = endpoints.flatMap(({heads}) => heads).length;
+      if (kind === 'once') {
+        // It may have run, so it is neither sent again nor promised not to have run.
+        assert.deepEqual([reply.status, sends], [502, 1]);
+        assert.equal(reply.headers['signature'], undefined);
+      } else {
+        assert.deepEqual([reply.status, sends], [200, 2]);
+        assert.equal(reply.body, event(1));
+      }
+    });
+
+for (const kind of ['once', 'stream'] as const)
+  test(`broken heads: status 000 with a statement that a ${kind} request has not run promises nothing`, async () => {
+    const endpoint = await startEndpoint(
+      respond('', '000 Status', 'not-run: 1\r\n'),
+    );
+    const send = await start(kind, [endpoint]);
+    assert.equal((await send('q1')).status, 502);
+  });
+
 const error = (status: string, extra = '') =>
   `HTTP/1.1 ${status}\r\n${extra}content-type: application/json\r\ncontent-length: 15\r\n\r\n{"error":"down"}`;
 const withId = (head: string, text: string) =>
@@ -102,6 +141,7 @@
         withId(head, error('500 Internal Server Error', 'signature: s\r\n')),
       ),
   ],
+  ['a status that ends no response', respond('', '000 Status')],
   [
     'an unsigned error',
     (socket, head) => socket.end(withId(head, error('502 Bad Gateway'))),
--- a/packages/gateway/test/cut-off.test.ts
+++ b/packages/gateway/test/cut-off.test.ts
@@ -116,6 +116,15 @@
       assert.equal(state.suspectedUntilMs, 0);
   });
 
+for (const kind of ['once', 'stream'] as const)
+  test(`cut off: a ${kind} response with status 000 is not forwarded through another host`, async () => {
+    const endpoints = await endpointsOf(works, 1);
+    const real = await startEndpoint(respond(event(1), '000 Status'));
+    const {port} = await start(kind, endpoints, real);
+    for (const endpoint of endpoints) endpoint.crash();
+    assert.equal((await sendRequest(port, {body: 'a'})).status, 502);
+  });
+
 test('cut off: a stream that falls silent goes on through another host', async () => {
   const silent: Behavior = (socket, head) =>
     void socket.write(
