Record no call whose status cannot end a response

A call of the daemon that a service answered with status 600 or 999 was recorded as done, and its caller got that status.

Cause: undici fails responses below 200 by assertions of its own, and takes any status above 599.

Change: the outcome of such a call is unknown.

Evidence: the new tests of 600 and 999 fail before the change; those of 000, 099, 101 and 199 pass before it too.

--- a/packages/services/src/http-service-api.ts
+++ b/packages/services/src/http-service-api.ts
@@ -104,6 +104,9 @@
     },
     onResponseData: (_controller, chunk) => void chunks.push(chunk),
     onResponseEnd() {
+      // The parser also takes invalid statuses (RFC 9110, section 15).
+      if (status < 200 || status > 599)
+        return events.failed(new Error(`response with status ${status}`));
       const body = Buffer.concat(chunks).toString('utf8');
       events.answered({status, contentType, body});
     },
--- a/packages/services/test/service-api.test.ts
+++ b/packages/services/test/service-api.test.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {
   createServiceStandIn,
@@ -76,6 +78,24 @@
     }
   }
 
+  // Guards against a response to a call that no client can read.
+  for (const status of ['000', '099', '101', '199', '600', '999'])
+    it(`a response with status ${status} leaves the outcome unknown`, async () => {
+      const server = createServer(socket => {
+        socket.on('error', () => {});
+        socket.once('data', () =>
+          socket.end(`HTTP/1.1 ${status} Status\r\ncontent-length: 0\r\n\r\n`),
+        );
+      });
+      server.listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      const {port} = server.address() as AddressInfo;
+      const options = {timeoutMs: 1_000};
+      const outcome = await api.call(`127.0.0.1:${port}`, BOOKING, options);
+      server.close();
+      assert.equal(outcome.kind, 'unknown');
+    });
+
   it('a call cancelled before it starts is not sent', async () => {
     const signal = AbortSignal.abort();
     const outcome = await api.call(service.address, BOOKING, {
