Check the end of responses of leaving endpoints too

Cause: a response without a length ends with its connection, as do the connections of a killed process. The host asks whether the endpoint still accepts connections, but not for plain responses of endpoints that leave, because these may exit after their last response. The end of a response tells nothing about which of the two has happened.

Change: all endpoints are checked. A sound one that exits at the very end of its last response without a length now gives 502, or a repeat elsewhere, in place of a response that may be cut off.

--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -6,7 +6,6 @@
 import {chooseWithinLimits} from './choose-within-limits.js';
 import {
   acceptsRequests,
-  isLeaving,
   observeLatency,
   type EndpointState,
 } from './endpoint-table.js';
@@ -290,7 +289,6 @@
           priority: workspace?.priority ?? rule.priority,
         }),
         body,
-        isLeaving: () => isLeaving(state),
       },
       {
         sent: () => (sent = true),
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -11,11 +11,6 @@
   /** Alternating names and values, without `content-length`. */
   readonly headers: readonly string[];
   readonly body?: Buffer;
-  /**
-   * Whether the endpoint is about to stop, so that it may well be gone as soon as its
-   * response is complete.
-   */
-  readonly isLeaving?: () => boolean;
 }
 
 /** Callbacks of a call; none is called after `ended`, `failed` or `abort`. */
@@ -50,7 +45,8 @@
  * reset.
  *
  * A response without a length ends with its connection, and so does one whose endpoint
- * is killed. It counts as complete only if the endpoint still accepts connections.
+ * is killed, also while it leaves. It counts as complete only if the endpoint still
+ * accepts connections.
  *
  * @example
  * const upstream = createUpstream(dialer);
@@ -101,8 +97,7 @@
         response.once('end', () => {
           if (!response.complete)
             return fail(new Error('response ended early'));
-          if (endsWithConnection(response) && options.isLeaving?.() !== true)
-            return void confirmEnd();
+          if (endsWithConnection(response)) return void confirmEnd();
           finish(() => events.ended());
         });
         response.once('error', fail);
