Parse what callers send in small pieces

Cause: the parser takes a whole read of 64 KB, up to 3,600 requests, and makes two objects for each before the connection can be paused. They are kept to the end of the turn, in which all connections are read. Requests without a Host are answered by node:http itself, before the limits on a connection see them.

Change: bytes reach the parser in pieces of 2 KB, and the rest stays unread while requests of the connection wait. The gateway itself answers a missing Host, with 400 as before.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -57,6 +57,8 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: SLOW_CONNECTION_CHECK_MS,
       noDelay: true,
+      // Node's own responses would bypass the limits on a connection.
+      requireHostHeader: false,
     },
     (req, res) => {
       connections.take(req, res, charge => {
--- a/packages/gateway/src/handle-request.ts
+++ b/packages/gateway/src/handle-request.ts
@@ -92,6 +92,11 @@
     const arrivedMs = performance.now();
     const facts = ctx.dialect.readRequest(req.headers);
     if (options.stopping()) res.setHeader('connection', 'close');
+    if (req.headers.host === undefined && req.httpVersion === '1.1') {
+      res.setHeader('connection', 'close');
+      const err = failure('invalid_request', 'missing Host header');
+      return refuse(req, res, facts, err, arrivedMs);
+    }
     let admission = await admit(options, req, facts);
     if (!admission.ok) return refuse(req, res, facts, admission.err, arrivedMs);
     const {rule: firstRule} = admission.value;
--- a/packages/gateway/src/intake/connections.ts
+++ b/packages/gateway/src/intake/connections.ts
@@ -1,13 +1,11 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ByteBudget, Charge} from './byte-budget.js';
+import {readInPieces} from './read-in-pieces.js';
 
 /** Requests of a connection that are served at the same time; callers use one. */
 const MAX_RUNNING = 4;
-/**
- * Parsed requests of a connection that wait for those. Up to two thousand arrive in one
- * read of 64 KB, before the connection can be paused, and take some KB each.
- */
+/** Parsed requests of a connection that wait for those; they take some KB each. */
 const MAX_WAITING = 32;
 /**
  * Time after which a connection is closed whose responses are not read, while bytes are not
@@ -102,6 +100,10 @@
       for (const charge of connection!.charges) charge.release();
       connection!.charges.clear();
     });
+    readInPieces(socket, () => {
+      const isHeld = (connections.get(socket)?.waiting.length ?? 0) > 0;
+      return isHeld || socket.isPaused();
+    });
     socket.on('resume', () => {
       // The parser resumes the socket after each request that it has read.
       if (connections.get(socket)?.waiting.length) socket.pause();
--- a/packages/gateway/test/callers.test.ts
+++ b/packages/gateway/test/callers.test.ts
@@ -88,6 +88,11 @@
     bytes: '\u0016\u0003\u0001 hello\r\n\r\n',
     status: 400,
   },
+  {
+    name: 'a request without a Host',
+    bytes: `${HEAD.replace('host: h\r\n', '')}\r\n0123456789`,
+    status: 400,
+  },
   {
     name: 'two content lengths',
     bytes: `${HEAD}content-length: 20\r\n\r\n0123456789`,
