Parse no further piece after a refusal

After a request that could not be parsed, the other pieces of the same read still reached the parser, since the change to small pieces: the refusal takes the parser's listener off the socket, but the loop over the pieces has its own list. Each piece was refused again, and the second refusal destroyed the socket with the first one in it.

Change: the loop ends when its listener has been removed.

--- a/packages/gateway/src/intake/read-in-pieces.ts
+++ b/packages/gateway/src/intake/read-in-pieces.ts
@@ -19,9 +19,12 @@
   const parsers = socket.listeners('data');
   // The parser reads the socket itself until the socket has another listener.
   socket.removeAllListeners('data');
-  socket.on('data', (bytes: Buffer) => {
+  socket.on('data', read);
+
+  function read(bytes: Buffer): void {
     for (let offset = 0; offset < bytes.length; offset += PIECE_BYTES) {
-      if (socket.destroyed) return;
+      // A refusal takes the socket away from the parser.
+      if (socket.destroyed || socket.listenerCount('data', read) === 0) return;
       if (offset > 0 && mustWait()) {
         socket.pause();
         socket.unshift(bytes.subarray(offset));
@@ -30,5 +33,5 @@
       const piece = bytes.subarray(offset, offset + PIECE_BYTES);
       for (const parse of parsers) parse.call(socket, piece);
     }
-  });
+  }
 }
--- a/packages/gateway/test/intake.test.ts
+++ b/packages/gateway/test/intake.test.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict';
 import {createServer, type Server} from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
+import {PassThrough} from 'node:stream';
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {
@@ -11,6 +12,7 @@
   createReadingTurns,
   intakeLimits,
   limitConnections,
+  readInPieces,
   type CloseReason,
 } from '../src/intake/index.js';
 import {until} from './harness.js';
@@ -194,3 +196,47 @@
   socket.destroy();
   server.close();
 });
+
+/** Reads what arrives at once in pieces; `parse` is called with each of them. */
+async function readAtOnce(
+  bytes: number,
+  parse: (socket: Socket, pieces: number) => void,
+  mustWait = () => false,
+): Promise<{pieces: number[]; socket: Socket}> {
+  const socket = new PassThrough({highWaterMark: bytes}) as unknown as Socket;
+  const pieces: number[] = [];
+  socket.on('data', (piece: Buffer) => {
+    pieces.push(piece.length);
+    parse(socket, pieces.length);
+  });
+  readInPieces(socket, mustWait);
+  socket.write(Buffer.alloc(bytes));
+  await new Promise(done => setImmediate(done));
+  return {pieces, socket};
+}
+
+test('intake: nothing is parsed after a refusal', async () => {
+  const {pieces} = await readAtOnce(10_000, socket => {
+    // As a refusal takes the socket away from the parser.
+    socket.removeAllListeners('data');
+    socket.on('data', () => {});
+  });
+  assert.equal(pieces.length, 1);
+});
+
+test('intake: what arrives while a connection waits is parsed in full later', async () => {
+  let isWaiting = true;
+  const {pieces, socket} = await readAtOnce(
+    10_000,
+    () => {},
+    () => isWaiting,
+  );
+  assert.equal(pieces.length, 1);
+  isWaiting = false;
+  socket.resume();
+  await new Promise(done => setImmediate(done));
+  assert.equal(
+    pieces.reduce((sum, length) => sum + length, 0),
+    10_000,
+  );
+});
