--- a/packages/common/src/log-events/gateway.ts
+++ b/packages/common/src/log-events/gateway.ts
@@ -55,6 +55,21 @@
     level: 'warn',
     message: 'unreadable store object ignored',
   },
+  storeEraChanged: {
+    number: 1025,
+    level: 'warn',
+    message: 'store has been restored from an older copy',
+  },
+  storeEraInvalid: {
+    number: 1026,
+    level: 'warn',
+    message: 'store states no valid era, or an earlier one',
+  },
+  feedOutdated: {
+    number: 1027,
+    level: 'info',
+    message: 'contents of the store not used because they are outdated',
+  },
   endpointChanged: {
     number: 1030,
     level: 'info',
--- a/packages/feed-relay/src/relayed-feed.ts
+++ b/packages/feed-relay/src/relayed-feed.ts
@@ -96,9 +96,24 @@
   readonly role: () => RelayRole;
   /** Shortest time within which a change must take effect, in milliseconds. */
   readonly effectMs: () => number;
+  /** Called for an answer that is not used. */
+  readonly onOutdated?: (answer: OutdatedAnswer) => void;
   readonly clocks?: Clocks;
 }
 
+/** An answer that is not used because newer contents are known or expected. */
+export interface OutdatedAnswer {
+  readonly kind: string;
+  /** The host that answered; undefined for the store. */
+  readonly source?: HostId;
+  /** `behind`: older than what this host knows; `late`: confirmed too long ago. */
+  readonly reason: 'behind' | 'late';
+  /** Version of the answer. */
+  readonly version: number;
+  /** Version that this host knows. */
+  readonly known: number;
+}
+
 /**
  * Creates a feed that asks the coordinator of the failure domain, which asks one
  * reader that polls the store for all hosts. Calls to the store then grow with
@@ -184,12 +199,16 @@
     const call = logOf(kind).begin();
     const listing = await client.list(source, {kind}, LIST_TIMEOUT_MS);
     if (!listing.ok) return void skipUnresponsive(source);
-    const isUsable =
-      !mark.hasDrifted() &&
-      // This host must not go back to objects that it has seen removed.
-      listing.value.version >= logOf(kind).version() &&
-      isRecent(mark.atMs, listing.value.confirmedAfterMs);
-    if (!isUsable) return void skipBriefly(source);
+    const {version, confirmedAfterMs} = listing.value;
+    const known = logOf(kind).version();
+    // This host must not go back to objects that it has seen removed.
+    const isBehind = version < known;
+    const isLate = mark.hasDrifted() || !isRecent(mark.atMs, confirmedAfterMs);
+    if (isBehind || isLate) {
+      const reason = isBehind ? 'behind' : 'late';
+      options.onOutdated?.({kind, source, reason, version, known});
+      return void skipBriefly(source);
+    }
     call.listed(listing.value);
     return listing.value;
   }
@@ -208,9 +227,13 @@
     if (!batch.ok) return void skipUnresponsive(source);
     if (batch.value.kind === 'unavailable') return void skipBriefly(source);
     if (batch.value.kind === 'changes') {
-      const isUsable =
-        !mark.hasDrifted() && isRecent(mark.atMs, batch.value.confirmedAfterMs);
-      if (!isUsable) return void skipBriefly(source);
+      const {version, confirmedAfterMs} = batch.value;
+      if (mark.hasDrifted() || !isRecent(mark.atMs, confirmedAfterMs)) {
+        const known = logOf(kind).version();
+        const reason = 'late';
+        options.onOutdated?.({kind, source, reason, version, known});
+        return void skipBriefly(source);
+      }
       call.polled(batch.value);
     }
     skipped.delete(source);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -211,6 +211,7 @@
       const {drainMs, configApplyMs} = options.bounds();
       return Math.min(drainMs, configApplyMs);
     },
+    metrics,
     log,
   });
   const {feed} = relay;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -14,6 +14,7 @@
   readonly repairs: Counter<'outcome'>;
   readonly quarantined: Counter<'evidence'>;
   readonly intakeClosed: Counter<'reason'>;
+  readonly outdated: Counter<'reason'>;
   /** Exports the bytes that callers' requests hold. */
   observeIntakeBytes(total: () => number): void;
 }
@@ -48,6 +49,12 @@
       labelNames: ['reason'],
       registers,
     }),
+    outdated: new Counter({
+      name: 'chivewick_gateway_outdated_total',
+      help: 'Contents of the store that were not used because they are outdated, by reason.',
+      labelNames: ['reason'],
+      registers,
+    }),
     suspected: new Counter({
       name: 'chivewick_gateway_suspected_total',
       help: 'Endpoints suspected to be down.',
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -8,6 +8,7 @@
 import {createPeers} from '@chivewick/peers';
 import type {ObjectFeed} from '@chivewick/platform';
 import type {FleetHost} from './fleet.js';
+import type {GatewayMetrics} from './metrics.js';
 
 /** Methods of `RelayService` on the connections between hosts. */
 const METHODS = {list: 'feed.list', changes: 'feed.changes'} as const;
@@ -34,7 +35,7 @@
  * cannot be bound.
  *
  * @example
- * const relay = await startRelay({self, store, role, effectMs, log});
+ * const relay = await startRelay({self, store, role, effectMs, metrics, log});
  */
 export async function startRelay(options: {
   readonly self: FleetHost;
@@ -42,6 +43,7 @@
   readonly role: () => ReaderRole;
   /** Shortest time within which a change must take effect, in milliseconds. */
   readonly effectMs: () => number;
+  readonly metrics: Pick<GatewayMetrics, 'outdated'>;
   readonly log: Logger;
 }): Promise<Relay> {
   const {self, store, log} = options;
@@ -63,6 +65,10 @@
     store,
     client,
     effectMs: options.effectMs,
+    onOutdated(answer) {
+      log.event('feedOutdated', {...answer});
+      options.metrics.outdated.inc({reason: answer.reason});
+    },
     role() {
       const {sources, ...role} = options.role();
       for (const source of sources) peers.setAddress(source.id, source.address);
