Show that a lease without a value ends the hosts

A lease (orders/lease) whose value is null, as a spoilt response of the store or another writer may bring it, is read without a check: the step of the lease throws, nothing catches it, and the process ends, as does each of its next runs. A fence that is text is taken as it is.

--- a/packages/orders/test/lease.test.ts
+++ b/packages/orders/test/lease.test.ts
@@ -42,6 +42,19 @@
      * Suspends the process: the monotonic clock stops, the wall clock goes on.
      */
     suspend: (ms: number) => void (timeOfDay += ms),
+    /** Stores a value as another writer does. */
+    leave: (value: unknown) => {
+      stored = {key: LEASE_KEY, version: (stored?.version ?? 0) + 1, value};
+    },
+    /** Replaces fields of the stored value and keeps its version. */
+    spoil: (fields: object) => {
+      const {version, value} = stored!;
+      stored = {
+        key: LEASE_KEY,
+        version,
+        value: {...(value as object), ...fields},
+      };
+    },
     takeOver: (fence: number) => {
       const {version} = stored!;
       const value = {holder: 'b', session: 's', writeId: 'w', fence, lists: 0};
@@ -82,3 +95,44 @@
   harness.advance(200);
   assert.equal(lease.fence(), undefined);
 });
+
+const LEASE = {holder: 'b', session: 's', writeId: 'w', fence: 3, lists: 0};
+/** Values of another writer, with the fence that follows each. */
+const UNREADABLE: readonly [value: unknown, nextFence: number][] = [
+  [null, 1],
+  [5, 1],
+  ['x', 1],
+  [[], 1],
+  [{}, 1],
+  [{...LEASE, fence: '3'}, 1],
+  [{...LEASE, fence: null}, 1],
+  [{...LEASE, holder: null}, 4],
+  [{...LEASE, session: 1}, 4],
+  [{...LEASE, lists: {}}, 4],
+];
+
+// Guards against a host that ends at a lease without a value, as each of its runs does.
+for (const [value, nextFence] of UNREADABLE)
+  test(`lease: a value that is no lease ends no host, and is replaced when it has expired (${JSON.stringify(value)})`, async () => {
+    const harness = createHarness();
+    const lease = harness.leaseOf('a');
+    harness.leave(value);
+    await lease.step(0);
+    assert.equal(lease.fence(), undefined);
+    harness.advance(TIMING.leaseMs - 1);
+    await lease.step(0);
+    assert.equal(lease.fence(), undefined);
+    harness.advance(1);
+    await lease.step(0);
+    assert.equal(lease.fence(), nextFence);
+  });
+
+test('lease: an own lease whose fence cannot be read is not acted on', async () => {
+  const harness = createHarness();
+  const lease = harness.leaseOf('a');
+  await lease.step(0);
+  harness.spoil({fence: 'x'});
+  lease.invalidate();
+  await lease.step(0);
+  assert.equal(lease.fence(), undefined);
+});
