Read a lease that another writer has left

The value was taken for a lease without a check.

The numbers of a stored lease are now read only if they are numbers, and any other value is a lease of an unknown holder: it is not taken over before it has stayed unchanged for the time of a lease, so that a spoilt response about a lease that is held gives it to no second host. Its fence is kept where it can be read.

--- a/packages/orders/src/lease.ts
+++ b/packages/orders/src/lease.ts
@@ -135,24 +135,25 @@
   async function observe(lists: number): Promise<void> {
     const read = await platform.get(LEASE_KEY);
     if (!read.ok) return;
-    const value = read.value?.value as LeaseValue | undefined;
-    if (value?.session === session) {
-      adopt(value, read.value!.version);
+    const value = readLease(read.value?.value);
+    const {fence: lastFence} = value;
+    if (value.session === session && lastFence !== undefined) {
+      adopt({...value, fence: lastFence}, read.value!.version);
       if (!isHeld()) await renew(lists);
       return;
     }
-    dropLease(value?.holder);
+    dropLease(value.holder);
     const version = read.value?.version ?? 'absent';
     const nowMs = clocks.monotonicMs();
     if (observed?.version !== version) observed = {version, sinceMs: nowMs};
     const expired =
-      value === undefined ||
+      read.value === undefined ||
       value.holder === NO_HOLDER ||
       nowMs - observed.sinceMs >= leaseMs;
     // A host with older lists than the last holder would undo that holder's
     // orders.
-    if (!expired || (value !== undefined && value.lists > lists)) return;
-    const fence = value?.fence ?? (await highestFence());
+    if (!expired || value.lists > lists) return;
+    const fence = lastFence ?? (await highestFence());
     if (fence === undefined) return;
     await write({fence: fence + 1, lists}, version);
   }
@@ -176,3 +177,18 @@
     },
   };
 }
+
+/**
+ * Reads a stored lease. Another writer may have left any value, so that numbers that are
+ * none are left out.
+ */
+function readLease(
+  stored: unknown,
+): Omit<LeaseValue, 'fence'> & {readonly fence: number | undefined} {
+  const {fence, lists, ...texts} = (stored ?? {}) as LeaseValue;
+  return {
+    ...texts,
+    fence: Number.isSafeInteger(fence) ? fence : undefined,
+    lists: Number.isSafeInteger(lists) ? lists : 0,
+  };
+}
