Keep the newer configuration when an older copy of the store comes back

A store that is restored from an older copy holds an older configuration until the operator has written the newer one again, and it gives versions out again.

Cause: the gateway orders configurations by the version of the store's object alone, which says nothing across a restore: an older configuration of the copy counts as newer, or a later one as older.

Change: a version of the store is composed of its era and the version in that era, so that it increases over restores and stays one number. Within an era the store orders configurations as before. Across eras one is adopted only if its own version is not lower, so that removed routes and keys stay removed; another is logged (1028). The store's client states no era yet, so that nothing changes for hosts with this commit.

--- a/packages/common/src/log-events/gateway.ts
+++ b/packages/common/src/log-events/gateway.ts
@@ -70,6 +70,11 @@
     level: 'info',
     message: 'contents of the store not used because they are outdated',
   },
+  configOutdated: {
+    number: 1028,
+    level: 'warn',
+    message: 'configuration of an older copy of the store not adopted',
+  },
   endpointChanged: {
     number: 1030,
     level: 'info',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import {setMaxListeners} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import {countBufferedBytes} from './byte-buffer.js';
+import {replacesConfig, type AdoptedConfig} from './adopted-config.js';
 import {createCallerServer} from './caller-server.js';
 import {startCoordination} from './coordination/index.js';
 import {createEndpointTable, type EndpointTable} from './endpoint-table.js';
@@ -135,7 +136,7 @@
   const {dialer, paths} = options;
   const upstream = createUpstream(dialer);
   let routing: Routing | undefined;
-  let configObjectVersion = 0;
+  let adopted: AdoptedConfig | undefined;
 
   const bounds = options.bounds();
   const random = createRandom();
@@ -326,10 +327,17 @@
   }
 
   function adoptConfig(object: StoredObject): void {
-    if (object.version <= configObjectVersion) return;
+    if (object.version <= (adopted?.storeVersion ?? 0)) return;
     const config = options.readConfig(object);
     if (config === undefined) return;
-    configObjectVersion = object.version;
+    if (!replacesConfig(adopted, object, config)) {
+      return log.event('configOutdated', {
+        configVersion: config.version,
+        storeVersion: object.version,
+        adopted: adopted?.config.version,
+      });
+    }
+    adopted = {config, storeVersion: object.version};
     routing = createRouting(config);
     callers.setLimits(config.limits);
     log.event('configAdopted', {
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -11,11 +11,12 @@
   type ServiceName,
   type WorkspaceId,
 } from '@chivewick/common';
-import type {
-  ChangeBatch,
-  ObjectChange,
-  ObjectFeed,
-  StoredObject,
+import {
+  storeVersion,
+  type ChangeBatch,
+  type ObjectChange,
+  type ObjectFeed,
+  type StoredObject,
 } from '@chivewick/platform';
 import {
   createDialer,
@@ -167,6 +168,7 @@
   let isDown = false;
   /** Changes before this version are no longer available. */
   let historyFrom = 0;
+  let era = 0;
 
   function put(key: string, value: unknown): void {
     version += 1;
@@ -230,6 +232,22 @@
       isDown = down;
       for (const wake of waiting) wake();
     },
+    /** Objects as they are, for a restore. */
+    copy: () => new Map(objects),
+    /** Brings back a copy, in a new era in which no watch can go on. */
+    restore(copy: ReadonlyMap<string, StoredObject>) {
+      era += 1;
+      version = storeVersion(era, copy.size)!;
+      objects.clear();
+      for (const [index, object] of [...copy.values()].entries())
+        objects.set(object.key, {
+          ...object,
+          version: storeVersion(era, index)!,
+        });
+      changes = [];
+      historyFrom = version;
+      for (const wake of waiting) wake();
+    },
     /** Makes a change and drops the history, so that no poll reports the change. */
     loseHistory(key: string, value: unknown) {
       version += 1;
