Keep what endpoints have said when an older copy of the store comes back

Cause: the table of endpoints takes each entry that arrives for a newer one. The entries of an older copy have a leaving endpoint as ready, and an endpoint that has left is not known any more, so that it is back as a new one.

Change: an entry of a later era is compared with what is known of the endpoint, by its start and its number of writes. An older one is ignored and logged (1029). An endpoint whose entry was removed is not used for the sake of an entry that the store had when it was restored, until the endpoint writes again, or until the store would have removed the entry. An entry that the copy lacks, of an endpoint that started since, stays in use for 2 s, in which its endpoint writes it again. Within an era nothing changes.

Existing tests give the version that removals and listings now have; their checks are the same.

--- a/packages/common/src/log-events/gateway.ts
+++ b/packages/common/src/log-events/gateway.ts
@@ -75,6 +75,11 @@
     level: 'warn',
     message: 'configuration of an older copy of the store not adopted',
   },
+  entryOutdated: {
+    number: 1029,
+    level: 'warn',
+    message: 'entry of an older copy of the store not used',
+  },
   endpointChanged: {
     number: 1030,
     level: 'info',
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -4,6 +4,8 @@
   Logger,
   ServiceName,
 } from '@chivewick/common';
+import {eraOf} from '@chivewick/platform';
+import {createEntryHistory} from './entry-history.js';
 import type {EndpointRecord} from './types.js';
 
 /** Time after which a suspected endpoint may be used again. */
@@ -17,6 +19,11 @@
 const REMOVAL_NOTICE_MS = 1_000;
 /** An entry removed within this time after a store outage may have expired. */
 const OUTAGE_EXPIRY_MS = 3_000;
+/**
+ * Time for which an endpoint is used whose entry is missing from an older copy of the
+ * store. It writes its entry again with its next heartbeat.
+ */
+const RESTORE_GRACE_MS = 2_000;
 /** Weight of the newest response time in the moving average. */
 const LATENCY_GAIN = 0.2;
 /** Assumed response time of an endpoint that has not responded yet. */
@@ -52,8 +59,11 @@
   /** Factor by which it is slower than its kind, as last reported. */
   slowness: number;
   slownessAtMs: number;
-  /** Set if its entry was removed but may merely have expired. */
-  retainedUntilMs?: number;
+  /**
+   * Set if its entry is missing but may merely have expired, or have been lost by a
+   * restore of the store.
+   */
+  retained?: {readonly untilMs: number; readonly version: number};
   /** Whether its entry was removed permanently. */
   removed: boolean;
   /** Whether it has stated in a response that it is about to stop. */
@@ -64,9 +74,11 @@
 
 /** The registered endpoints with their load and health. */
 export interface EndpointTable {
-  replaceAll(records: readonly EndpointRecord[]): void;
+  /** Takes over a listing that was read at a version of the store. */
+  replaceAll(records: readonly EndpointRecord[], version: number): void;
   upsert(record: EndpointRecord): void;
-  remove(id: EndpointId): void;
+  /** Takes over the removal of an entry at a version of the store. */
+  remove(id: EndpointId, version: number): void;
   /** Records a failed call to the store; entries may expire during an outage. */
   storeUnavailable(): void;
   /** Name of the failure domain with an index. */
@@ -113,6 +125,7 @@
   /** Services whose engines hold or held layers, by address. */
   const holders = new Map<string, ServiceName>();
   const listeners = new Set<(state: EndpointState) => void>();
+  const history = createEntryHistory(now);
   let outageAtMs = -Infinity;
   let changedAtMs = now();
 
@@ -123,6 +136,11 @@
 
   function upsert(record: EndpointRecord): void {
     const known = states.get(record.id);
+    if (known !== undefined && history.isOutdated(record, known.record)) {
+      known.retained = undefined;
+      return ignore(record, known.record);
+    }
+    if (known === undefined && history.withholds(record)) return ignore(record);
     const isNew =
       known === undefined || known.record.startedAtMs !== record.startedAtMs;
     const isReassigned =
@@ -146,7 +164,7 @@
       holders.set(record.address, record.service);
     if (!isNew) {
       known.record = record;
-      known.retainedUntilMs = undefined;
+      known.retained = undefined;
       return;
     }
     changedAtMs = now();
@@ -174,22 +192,43 @@
     });
   }
 
-  function remove(id: EndpointId): void {
+  function ignore(record: EndpointRecord, known?: EndpointRecord): void {
+    log.event('entryOutdated', {
+      endpoint: record.id,
+      state: record.state,
+      writes: record.writes,
+      known: known?.state ?? 'removed',
+      knownWrites: known?.writes,
+    });
+  }
+
+  function remove(id: EndpointId, version: number): void {
+    history.drop(id);
     const state = states.get(id);
     if (state === undefined) return;
     const mayHaveExpired =
       state.record.state === 'ready' && now() - outageAtMs < OUTAGE_EXPIRY_MS;
-    if (mayHaveExpired) {
-      state.retainedUntilMs ??=
-        now() + Math.max(0, drainMs() - REMOVAL_NOTICE_MS);
-      return;
-    }
-    drop(state, 'entry removed');
+    if (!mayHaveExpired) return drop(state, 'entry removed', version);
+    retain(state, Math.max(0, drainMs() - REMOVAL_NOTICE_MS), version);
+  }
+
+  function retain(state: EndpointState, forMs: number, version: number): void {
+    state.retained ??= {untilMs: now() + forMs, version};
   }
 
-  function drop(state: EndpointState, reason: string): void {
+  /** Takes over that an entry is missing from a listing. */
+  function removeUnlisted(state: EndpointState, version: number): void {
+    const {record} = state;
+    const isRestored = eraOf(version) > eraOf(record.storeVersion);
+    if (isRestored && record.state === 'ready')
+      retain(state, RESTORE_GRACE_MS, version);
+    else remove(record.id, version);
+  }
+
+  function drop(state: EndpointState, reason: string, version: number): void {
     state.removed = true;
     states.delete(state.record.id);
+    history.removed(state.record, version);
     changedAtMs = now();
     log.event('endpointGone', {
       endpoint: state.record.id,
@@ -198,24 +237,29 @@
     });
   }
 
-  function dropExpired(): void {
-    for (const state of states.values())
-      if (state.retainedUntilMs !== undefined && now() > state.retainedUntilMs)
-        drop(state, 'entry was not re-created after a store outage');
+  /** Acts on entries that are missing, or unexpectedly there, for long enough. */
+  function settleEntries(): void {
+    for (const state of states.values()) {
+      const {retained} = state;
+      if (retained !== undefined && now() > retained.untilMs)
+        drop(state, 'entry was not written again', retained.version);
+    }
+    for (const record of history.takeDue()) upsert(record);
   }
 
   function ofService(service: ServiceName): EndpointState[] {
-    dropExpired();
+    settleEntries();
     return [...states.values()].filter(
       state => state.record.service === service,
     );
   }
 
   return {
-    replaceAll(records) {
+    replaceAll(records, version) {
       const listed = new Set(records.map(record => record.id));
-      for (const endpoint of [...states.keys()])
-        if (!listed.has(endpoint)) remove(endpoint);
+      history.listed(listed, version);
+      for (const state of [...states.values()])
+        if (!listed.has(state.record.id)) removeUnlisted(state, version);
       for (const record of records) upsert(record);
     },
     upsert,
--- a/packages/gateway/src/follow-kind.ts
+++ b/packages/gateway/src/follow-kind.ts
@@ -1,5 +1,5 @@
 import {pause, type Logger} from '@chivewick/common';
-import type {ObjectChange, ObjectFeed, StoredObject} from '@chivewick/platform';
+import type {Listing, ObjectChange, ObjectFeed} from '@chivewick/platform';
 
 /** Exponential backoff between attempts while the store is unavailable. */
 const BASE_RETRY_MS = 100;
@@ -19,7 +19,7 @@
   readonly after: Promise<void>;
   /** Pause after changes, so that several are batched into one response. */
   readonly batchMs: number;
-  readonly onListing: (objects: readonly StoredObject[]) => void;
+  readonly onListing: (listing: Listing) => void;
   readonly onChanges: (changes: readonly ObjectChange[]) => void;
   /**
    * Called before each listing or poll. The returned function is called if that
@@ -55,7 +55,7 @@
     const listing = await feed.listKind(kind);
     if (!listing.ok) return failed(listing.err.message);
     version = listing.value.version;
-    options.onListing(listing.value.objects);
+    options.onListing(listing.value);
     confirm?.(listing.value.confirmedAfterMs);
     return true;
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -224,7 +224,7 @@
     signal: closing.signal,
     waitMs: CONFIG_POLL_MS,
     batchMs: 0,
-    onListing: objects => objects.forEach(adoptConfig),
+    onListing: ({objects}) => objects.forEach(adoptConfig),
     onChanges: changes =>
       changes.forEach(change => {
         if (change.value !== undefined) adoptConfig(change as StoredObject);
@@ -239,14 +239,14 @@
     signal: closing.signal,
     waitMs: ENDPOINT_POLL_MS,
     batchMs: BATCH_MS,
-    onListing(objects) {
-      table.replaceAll(objects.flatMap(readEndpoint));
+    onListing({objects, version}) {
+      table.replaceAll(objects.flatMap(readEndpoint), version);
       coordination.quarantine.endpointsChanged();
     },
     onChanges: changes => {
       for (const change of changes) {
         if (change.value === undefined)
-          table.remove(nameOfKey(change.key) as EndpointId);
+          table.remove(nameOfKey(change.key) as EndpointId, change.version);
         else readEndpoint(change as StoredObject).forEach(table.upsert);
       }
       coordination.quarantine.endpointsChanged();
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -133,6 +133,10 @@
   readonly state: 'ready' | 'draining';
   /** Unix time of its start in milliseconds; distinguishes incarnations. */
   readonly startedAtMs: number;
+  /** Writes of the entry in this incarnation. */
+  readonly writes: number;
+  /** Version of the store's object. */
+  readonly storeVersion: number;
   readonly accelerator?: string;
   /** Undefined while the endpoint holds no layers. */
   readonly layers?: LayerRange;
--- a/packages/gateway/test/configuration.test.ts
+++ b/packages/gateway/test/configuration.test.ts
@@ -148,7 +148,7 @@
   await until(() => gateway.table.all().length === 1);
   gateway.table.storeUnavailable();
   store.remove('endpoints/b');
-  await until(() => gateway.table.all()[0]?.retainedUntilMs !== undefined);
+  await until(() => gateway.table.all()[0]?.retained !== undefined);
   assert.equal(gateway.table.usable(record('x', '').service).length, 1);
 });
 
--- a/packages/gateway/test/coordination.test.ts
+++ b/packages/gateway/test/coordination.test.ts
@@ -189,7 +189,7 @@
     });
   // No other engine holds the layers.
   assert.deepEqual(await askRepair(), {kind: 'denied'});
-  third.table.remove(stages[1].endpoint);
+  third.table.remove(stages[1].endpoint, 2);
   for (const {table} of started)
     table.upsert(
       record('spare', '127.0.0.1:3', {
--- a/packages/gateway/test/coordinator.test.ts
+++ b/packages/gateway/test/coordinator.test.ts
@@ -89,8 +89,8 @@
   const full = crowded.answer(askOf());
   assert.equal(full.kind === 'no_capacity' && full.mayFree, true);
   const {coordinator, table} = startCoordinator();
-  table.remove(id<EndpointId>('e0'));
-  table.remove(id<EndpointId>('e2'));
+  table.remove(id<EndpointId>('e0'), 2);
+  table.remove(id<EndpointId>('e2'), 2);
   const lost = coordinator.answer(askOf());
   assert.equal(lost.kind === 'no_capacity' && lost.mayFree, false);
   assert.equal(lost.kind === 'no_capacity' && lost.layers, '0-40');
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -334,6 +334,8 @@
     slots: 6,
     state: 'ready',
     startedAtMs: 1,
+    writes: 1,
+    storeVersion: 1,
     ...changes,
   };
 }
--- a/packages/placement/test/placement-controller.test.ts
+++ b/packages/placement/test/placement-controller.test.ts
@@ -144,6 +144,8 @@
   slots: 100,
   state: 'ready',
   startedAtMs: 1,
+  writes: 1,
+  storeVersion: 1,
   accelerator: 'card',
   layers: from === undefined ? undefined : {from, to: from + 20},
 });
@@ -172,7 +174,7 @@
 
 test('placement: an engine that is back from a crash gets layers at once, a new one may replace another', async () => {
   const {table, ordered, close} = await startPlacing();
-  table.remove(id<EndpointId>('a0'));
+  table.remove(id<EndpointId>('a0'), 2);
   table.upsert(engine('back', 'a:0'));
   table.upsert(engine('new', 'd:0'));
   await clock.tickAsync(1_000);
@@ -184,7 +186,7 @@
 
 test('placement: no engine moves while crashed ones may be back sooner', async () => {
   const {table, ordered, close} = await startPlacing();
-  for (const name of ['a0', 'b0']) table.remove(id<EndpointId>(name));
+  for (const name of ['a0', 'b0']) table.remove(id<EndpointId>(name), 2);
   await clock.tickAsync(3_500);
   assert.deepEqual(ordered, []);
   await clock.tickAsync(1_500);
