--- a/packages/feed-relay/src/relayed-feed.ts
+++ b/packages/feed-relay/src/relayed-feed.ts
@@ -6,7 +6,12 @@
   type HostId,
   type Result,
 } from '@chivewick/common';
-import type {ChangeBatch, Listing, ObjectFeed} from '@chivewick/platform';
+import {
+  eraOf,
+  type ChangeBatch,
+  type Listing,
+  type ObjectFeed,
+} from '@chivewick/platform';
 import {createChangeLog, type ChangeLog} from './change-log.js';
 
 /** Duration of a poll at another host; a frozen one is noticed within this time. */
@@ -249,8 +254,16 @@
     const startMs = clocks.monotonicMs();
     const call = logOf(kind).begin();
     const listing = await store.listKind(kind);
-    if (listing.ok) call.listed(listing.value);
     recordCall(kind, startMs, listing.ok);
+    if (!listing.ok) return listing;
+    const {version} = listing.value;
+    const known = logOf(kind).version();
+    // Another host may have learned of a restore first.
+    if (eraOf(version) < eraOf(known)) {
+      options.onOutdated?.({kind, reason: 'behind', version, known});
+      return fail('platform_unavailable', 'listing of an earlier era');
+    }
+    call.listed(listing.value);
     return listing;
   }
 
