Keep the order lease over a restore of the store

What is seen: after a restore from an older copy no host orders layers for some 10 s, or two hosts act on the lease.

The copy holds an earlier renewal of the holder, whose write is forgotten: the holder expects its last version, gets a conflict each time, and never continues. A host whose lease another has taken since, in the seconds that are lost, takes the restored lease for its own at once; if it had given the lease up, the step throws and the process ends. A fencing number of the lost seconds is given out again.

Change: a host that reads its lease after a restore continues from it while its last renewal is valid, as no other host can have acquired the lease then; otherwise it waits as for a lease of another host. A new lease has a fencing number above all that the host has seen. The controller steps again at once when a renewal meets a conflict, since nobody reports as the holder meanwhile.

Measured: the three new tests of lease.test.ts fail before (one of them with a second holder, two without a holder or with the wrong one) and pass after; 66 tests of orders and placement pass.

--- a/packages/orders/src/lease.ts
+++ b/packages/orders/src/lease.ts
@@ -7,7 +7,11 @@
   type HostId,
   type Logger,
 } from '@chivewick/common';
-import type {ExpectedVersion, ObjectStore} from '@chivewick/platform';
+import {
+  eraOf,
+  type ExpectedVersion,
+  type ObjectStore,
+} from '@chivewick/platform';
 import {randomUUID} from 'node:crypto';
 import type {LeaseValue, OrdersTiming} from './orders-api.js';
 
@@ -74,20 +78,27 @@
   let held: {value: LeaseValue; version: number} | undefined;
   /** Start of the write from which the lease is measured. */
   let since: ClockMark | undefined;
+  /** `since` before it became uncertain whether this host holds the lease. */
+  let lastSince: ClockMark | undefined;
+  /** Highest fencing number that this host has seen; a restored store has a lower one. */
+  let seenFence = 0;
+  let seenEra: number | undefined;
   let observed: Observation | undefined;
   /** Whether `held.version` may be out of date. */
   let stale = false;
   let fenceIncrement = 0;
 
-  const isHeld = (): boolean =>
-    held !== undefined &&
-    since !== undefined &&
-    clocks.monotonicMs() < since.atMs + leaseMs - leaseMarginMs &&
-    !since.hasDrifted();
+  const isValid = (start: ClockMark | undefined): boolean =>
+    start !== undefined &&
+    clocks.monotonicMs() < start.atMs + leaseMs - leaseMarginMs &&
+    !start.hasDrifted();
+
+  const isHeld = (): boolean => held !== undefined && isValid(since);
 
   function adopt(value: LeaseValue, version: number): void {
     const start = writes.get(value.writeId);
     if (start === undefined) return;
+    seenFence = Math.max(seenFence, value.fence);
     if (held === undefined || held.value.fence !== value.fence) {
       log.event('orderLeaseTaken', {fence: value.fence});
     }
@@ -99,7 +110,33 @@
       if (atMs < start.atMs) writes.delete(writeId);
   }
 
+  /**
+   * Continues from what a restored store has, which may be an earlier renewal. While the
+   * last renewal is valid, no other host has waited for long enough to acquire the lease.
+   */
+  function resume(value: LeaseValue, version: number): boolean {
+    if (held === undefined || !isValid(since ?? lastSince)) return false;
+    held = {value: {...value, fence: held.value.fence}, version};
+    stale = false;
+    return true;
+  }
+
+  /** Whether the store was restored since this host last read or wrote the lease. */
+  function isRestored(version: number): boolean {
+    const previous = seenEra;
+    seenEra = eraOf(version);
+    return previous !== undefined && seenEra > previous;
+  }
+
+  /** Whether a lease of this session is still its own; another may have been lost. */
+  function confirm(value: LeaseValue, version: number): boolean {
+    if (isRestored(version)) return resume(value, version);
+    adopt(value, version);
+    return held !== undefined;
+  }
+
   function markUncertain(): void {
+    lastSince = since ?? lastSince;
     since = undefined;
     stale = true;
   }
@@ -109,7 +146,9 @@
     log.event('orderLeaseLost', {fence: held.value.fence, holder});
     held = undefined;
     since = undefined;
+    lastSince = undefined;
     fenceIncrement = 0;
+    writes.clear();
   }
 
   async function write(
@@ -119,7 +158,10 @@
     const value = {...next, holder: self, session, writeId: randomUUID()};
     writes.set(value.writeId, markClocks(clocks));
     const outcome = await platform.put(LEASE_KEY, value, expected);
-    if (outcome.kind === 'written') adopt(value, outcome.version);
+    if (outcome.kind === 'written') {
+      seenEra = eraOf(outcome.version);
+      adopt(value, outcome.version);
+    }
     // The stored version is newer. The next read shows whether it is an own
     // write whose response was lost, or another holder's.
     if (outcome.kind === 'conflict') markUncertain();
@@ -137,13 +179,17 @@
     if (!read.ok) return;
     const value = readLease(read.value?.value);
     const {fence: lastFence} = value;
+    const version = read.value?.version ?? 'absent';
+    seenFence = Math.max(seenFence, lastFence ?? 0);
     if (value.session === session && lastFence !== undefined) {
-      adopt({...value, fence: lastFence}, read.value!.version);
-      if (!isHeld()) await renew(lists);
-      return;
+      const own = {...value, fence: lastFence};
+      if (confirm(own, read.value!.version)) {
+        if (!isHeld()) await renew(lists);
+        return;
+      }
     }
+    if (read.value !== undefined) seenEra = eraOf(read.value.version);
     dropLease(value.holder);
-    const version = read.value?.version ?? 'absent';
     const nowMs = clocks.monotonicMs();
     if (observed?.version !== version) observed = {version, sinceMs: nowMs};
     const expired =
@@ -155,7 +201,7 @@
     if (!expired || value.lists > lists) return;
     const fence = lastFence ?? (await highestFence());
     if (fence === undefined) return;
-    await write({fence: fence + 1, lists}, version);
+    await write({fence: Math.max(fence, seenFence) + 1, lists}, version);
   }
 
   return {
--- a/packages/orders/test/lease.test.ts
+++ b/packages/orders/test/lease.test.ts
@@ -1,7 +1,12 @@
 // Guards against a holder that was suspended and then sends orders based on
-// what it knew before, while another host may hold the lease.
+// what it knew before, while another host may hold the lease. Also guards against a lease
+// that is lost, held twice or ends a process when an older copy of the store comes back.
 import {createSilentLogger, id, ok, type HostId} from '@chivewick/common';
-import type {ObjectStore, StoredObject} from '@chivewick/platform';
+import {
+  storeVersion,
+  type ObjectStore,
+  type StoredObject,
+} from '@chivewick/platform';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createLease, LEASE_KEY} from '../src/lease.js';
@@ -12,6 +17,8 @@
   let steady = 1_000;
   let timeOfDay = 1_800_000_000_000;
   let stored: StoredObject | undefined;
+  let era = 0;
+  const fences: number[] = [];
   const store: ObjectStore = {
     get: () => Promise.resolve(ok(stored)),
     list: () => Promise.resolve(ok(stored === undefined ? [] : [stored])),
@@ -20,6 +27,7 @@
         return Promise.resolve({kind: 'conflict'});
       const version = (stored?.version ?? 0) + 1;
       stored = {key, version, value};
+      fences.push((value as {fence: number}).fence);
       return Promise.resolve({kind: 'written', version});
     },
   };
@@ -55,6 +63,14 @@
         value: {...(value as object), ...fields},
       };
     },
+    /** Fencing numbers in the order of the writes. */
+    fences,
+    copy: () => stored,
+    /** Brings back a copy, in a new era. */
+    restore(copy: StoredObject | undefined) {
+      era += 1;
+      stored = copy && {...copy, version: storeVersion(era, 1)!};
+    },
     takeOver: (fence: number) => {
       const {version} = stored!;
       const value = {holder: 'b', session: 's', writeId: 'w', fence, lists: 0};
@@ -136,3 +152,55 @@
   await lease.step(0);
   assert.equal(lease.fence(), undefined);
 });
+
+test('lease: a holder goes on after a restore that lost its last renewal', async () => {
+  const harness = createHarness();
+  const lease = harness.leaseOf('a');
+  await lease.step(0);
+  const copy = harness.copy();
+  harness.advance(1_500);
+  await lease.step(0);
+  harness.restore(copy);
+  harness.advance(1_500);
+  await lease.step(0);
+  await lease.step(0);
+  assert.equal(lease.fence(), 1);
+  await lease.step(0);
+  assert.equal(lease.fence(), 1);
+});
+
+test('lease: a host whose lease another had taken waits after a restore', async () => {
+  const harness = createHarness();
+  const [first, second] = [harness.leaseOf('a'), harness.leaseOf('b')];
+  await first.step(0);
+  const copy = harness.copy();
+  await second.step(0);
+  harness.advance(5_001);
+  await second.step(0);
+  await first.step(0);
+  await first.step(0);
+  assert.deepEqual([first.fence(), second.fence()], [undefined, 2]);
+  harness.restore(copy);
+  await first.step(0);
+  assert.deepEqual([first.fence(), second.fence()], [undefined, 2]);
+  harness.advance(5_001);
+  await first.step(0);
+  assert.deepEqual([first.fence(), second.fence()], [3, undefined]);
+});
+
+test('lease: a holder that was suspended over a takeover and a restore waits', async () => {
+  const harness = createHarness();
+  const [first, second] = [harness.leaseOf('a'), harness.leaseOf('b')];
+  await first.step(0);
+  await first.step(0);
+  const copy = harness.copy();
+  await first.step(0);
+  await second.step(0);
+  harness.advance(5_001);
+  await second.step(0);
+  assert.equal(second.fence(), 2);
+  harness.restore(copy);
+  await first.step(0);
+  await first.step(0);
+  assert.deepEqual([first.fence(), second.fence()], [undefined, 2]);
+});
--- a/packages/placement/src/placement-controller.ts
+++ b/packages/placement/src/placement-controller.ts
@@ -132,6 +132,8 @@
         options.mayContend() && options.sinceHolderSeenMs() > HOLDER_TIMEOUT_MS;
       if (isHolder || isMissing) {
         await lease.step(0);
+        // The renewal found another version, which may be of a restored store.
+        if (isHolder && lease.fence() === undefined) await lease.step(0);
       }
       await pause(
         lease.fence() === undefined ? OBSERVE_INTERVAL_MS : RENEW_INTERVAL_MS,
