Take a newer configuration that other hosts have

Cause: after a restore the store holds an older configuration until the operator writes the newer one again. A host that starts meanwhile adopts it and counts as current, withdrawn keys included; one that had not yet read the last acknowledged version never hears of it. No host compares its configuration with that of others.

Change: reports and summaries between hosts say which version the sender has in effect. A host that lacks a version for 500 ms fetches it from the host that said so, and adopts it if its version is higher; after that the order across eras holds as for one that was read from the store.

Measured: catch-up.test.ts; without the change its last test, a host that starts from an older copy beside one with a newer configuration, would wait without end: the fetch is the only way to that version in it.

--- a/packages/gateway/src/adopted-config.ts
+++ b/packages/gateway/src/adopted-config.ts
@@ -1,10 +1,10 @@
 import {eraOf, type StoredObject} from '@chivewick/platform';
 import type {RoutingConfig} from './types.js';
 
-/** A configuration and the version of the object that holds it. */
+/** A configuration and the object that holds it. */
 export interface AdoptedConfig {
   readonly config: RoutingConfig;
-  readonly storeVersion: number;
+  readonly object: StoredObject;
 }
 
 /**
@@ -22,7 +22,7 @@
   config: Pick<RoutingConfig, 'version'>,
 ): boolean {
   if (adopted === undefined) return true;
-  if (version <= adopted.storeVersion) return false;
-  const isSameEra = eraOf(version) === eraOf(adopted.storeVersion);
+  if (version <= adopted.object.version) return false;
+  const isSameEra = eraOf(version) === eraOf(adopted.object.version);
   return isSameEra || config.version >= adopted.config.version;
 }
--- a/packages/gateway/src/coordination/coordination.ts
+++ b/packages/gateway/src/coordination/coordination.ts
@@ -133,6 +133,8 @@
   readonly isLeaseHolder: () => boolean;
   /** Called after a change of what is known of crashes. */
   readonly onEvidence?: () => void;
+  /** Called with the version of the configuration that another host has in effect. */
+  readonly onConfigVersion?: (host: HostId, version: number) => void;
   readonly checkRun: CheckRun;
   /** Checks an endpoint that did not respond to another host. */
   readonly verify: (state: EndpointState) => void;
@@ -227,6 +229,7 @@
       const value = parseCoordinatorSummary(params);
       if (value === undefined || value.from === self.id) return;
       seeHolder(value.holderSeenMsAgo);
+      hearConfig(value.from, value.configVersion);
       coordinator.remote.replace(value.from, value);
       for (const endpoint of value.suspected) suspectReported(table, endpoint);
     },
@@ -295,6 +298,10 @@
     holderSeenAtMs = Math.max(holderSeenAtMs, performance.now() - msAgo);
   }
 
+  function hearConfig(host: HostId, version: number | undefined): void {
+    if (version !== undefined) options.onConfigVersion?.(host, version);
+  }
+
   function holderSeenMsAgo(): number {
     if (options.isLeaseHolder()) return 0;
     // JSON has no infinity.
@@ -321,6 +328,7 @@
       isComplete: paths.length <= MAX_REPORTED_PATHS,
       through: Math.max(0, held.settledThrough()),
       isLeaseHolder: options.isLeaseHolder(),
+      configVersion: options.config()?.version,
       ...retries.report(),
     };
     for (const {id, address} of ranks.reportTargets()) {
@@ -336,6 +344,7 @@
     fleet.add(from);
     contacts.heard(from.id);
     if (report.isLeaseHolder) seeHolder(0);
+    hearConfig(from.id, report.configVersion);
     coordinator.grants.sync(from.id, report);
     retries.receive(report);
     const value = createDomainSummary(table, {
@@ -344,6 +353,7 @@
       retryable: retries.retryable(),
       retryRuns: retries.runsFor(report),
       holderSeenMsAgo: holderSeenMsAgo(),
+      configVersion: options.config()?.version,
     });
     datagrams.notify(from.address, METHODS.domainSummary, value);
     gossip.repeat([from]);
@@ -353,6 +363,7 @@
     contacts.heard(value.from);
     unanswered.delete(value.from);
     seeHolder(value.holderSeenMsAgo);
+    hearConfig(value.from, value.configVersion);
     retries.learn(value);
     // Of two coordinators, the one that this host asks knows the load.
     if (value.from !== ranks.coordinator().id) return;
@@ -375,6 +386,7 @@
         .map(state => state.record.id),
       started: coordinator.takeStarted(),
       holderSeenMsAgo: holderSeenMsAgo(),
+      configVersion: options.config()?.version,
     };
     for (const {address} of otherCoordinators())
       datagrams.notify(address, METHODS.coordinatorSummary, params);
--- a/packages/gateway/src/coordination/domain-summary.ts
+++ b/packages/gateway/src/coordination/domain-summary.ts
@@ -28,6 +28,7 @@
     retryable: readonly ServiceName[];
     retryRuns: readonly RetryRun[];
     holderSeenMsAgo: number;
+    configVersion?: number;
   },
 ): DomainSummary {
   const nowMs = performance.now();
--- a/packages/gateway/src/coordination/messages.ts
+++ b/packages/gateway/src/coordination/messages.ts
@@ -92,6 +92,8 @@
   /** Epoch time of the start of the host's process, in milliseconds. */
   readonly startedAtMs?: number;
   readonly retries?: readonly RetryCount[];
+  /** Version of the configuration that the sender has in effect. */
+  readonly configVersion?: number;
 }
 
 /** What a coordinator tells the hosts of its failure domain. */
@@ -105,6 +107,8 @@
   /** For a host that has just started: what other runs have counted. */
   readonly retryRuns?: readonly RetryRun[];
   readonly holderSeenMsAgo: number;
+  /** Version of the configuration that the sender has in effect. */
+  readonly configVersion?: number;
 }
 
 /** What a coordinator tells the coordinators of other failure domains. */
@@ -116,6 +120,8 @@
   /** Endpoints of its own failure domain that do not respond to it. */
   readonly suspected: readonly EndpointId[];
   readonly holderSeenMsAgo: number;
+  /** Version of the configuration that the sender has in effect. */
+  readonly configVersion?: number;
 }
 
 /** Ids of grants that a host no longer uses. */
@@ -204,7 +210,8 @@
     isListOf(report['held'], isGrant) &&
     (report['startedAtMs'] === undefined || isCount(report['startedAtMs'])) &&
     (report['retries'] === undefined ||
-      isListOf(report['retries'], isRetryCount));
+      isListOf(report['retries'], isRetryCount)) &&
+    isOptionalCount(report['configVersion']);
   return isValid ? (value as HostReport) : undefined;
 }
 
@@ -217,7 +224,8 @@
     isListOf(summary['retryable'], isText) &&
     (summary['retryRuns'] === undefined ||
       isListOf(summary['retryRuns'], isRetryRun)) &&
-    isCount(summary['holderSeenMsAgo']);
+    isCount(summary['holderSeenMsAgo']) &&
+    isOptionalCount(summary['configVersion']);
   return isValid ? (value as DomainSummary) : undefined;
 }
 
@@ -231,7 +239,8 @@
     isListOf(summary['pipes'], isPipe) &&
     isListOf(summary['suspected'], isText) &&
     isCount(summary['started']) &&
-    isCount(summary['holderSeenMsAgo']);
+    isCount(summary['holderSeenMsAgo']) &&
+    isOptionalCount(summary['configVersion']);
   return isValid ? (value as CoordinatorSummary) : undefined;
 }
 
@@ -280,6 +289,10 @@
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
 
+function isOptionalCount(value: unknown): boolean {
+  return value === undefined || isCount(value);
+}
+
 function isListOf(value: unknown, isItem: (item: unknown) => boolean): boolean {
   return Array.isArray(value) && value.every(isItem);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
   bindWithRetry,
   createRandom,
   type EndpointId,
+  type HostId,
   type Logger,
 } from '@chivewick/common';
 import {
@@ -20,6 +21,7 @@
 import {countBufferedBytes} from './byte-buffer.js';
 import {replacesConfig, type AdoptedConfig} from './adopted-config.js';
 import {createCallerServer} from './caller-server.js';
+import {createCatchUp} from './catch-up.js';
 import {startCoordination} from './coordination/index.js';
 import {createEndpointTable, type EndpointTable} from './endpoint-table.js';
 import type {ExchangeContext} from './exchange.js';
@@ -155,6 +157,10 @@
     ...retryBounds,
     shares: () => fleet.count(),
   });
+  const catchUp = createCatchUp({
+    current: () => routing?.config.version,
+    fetch: fetchConfig,
+  });
   const coordination = await startCoordination({
     self: options.self,
     fleet,
@@ -168,6 +174,7 @@
     isLeaseHolder: () => options.fence() !== undefined,
     checkRun: createRunCheck({dialer, control: options.control}),
     onEvidence: () => savedBans?.changed(),
+    onConfigVersion: (host, version) => catchUp.heard(host, version),
     verify: state => suspects.verify(state),
   });
   const savedBans =
@@ -212,6 +219,8 @@
       const {drainMs, configApplyMs} = options.bounds();
       return Math.min(drainMs, configApplyMs);
     },
+    hosts: () => fleet.others(),
+    adopted: () => adopted?.object,
     metrics,
     log,
   });
@@ -327,7 +336,7 @@
   }
 
   function adoptConfig(object: StoredObject): void {
-    if (object.version <= (adopted?.storeVersion ?? 0)) return;
+    if (object.version <= (adopted?.object.version ?? 0)) return;
     const config = options.readConfig(object);
     if (config === undefined) return;
     if (!replacesConfig(adopted, object, config)) {
@@ -337,17 +346,36 @@
         adopted: adopted?.config.version,
       });
     }
-    adopted = {config, storeVersion: object.version};
+    putInEffect(object, config);
+  }
+
+  function putInEffect(
+    object: StoredObject,
+    config: RoutingConfig,
+    source?: HostId,
+  ): void {
+    adopted = {config, object};
     routing = createRouting(config);
     callers.setLimits(config.limits);
     log.event('configAdopted', {
       configVersion: config.version,
       storeVersion: object.version,
+      source,
       routes: config.routes.length,
       keys: config.workspaceOfKey?.size,
     });
   }
 
+  /** Takes over the configuration of another host if it is newer. */
+  async function fetchConfig(host: HostId): Promise<void> {
+    const found = await relay.adoptedBy(host);
+    if (!found.ok) return;
+    const config = options.readConfig(found.value);
+    const own = routing?.config.version ?? 0;
+    if (config !== undefined && config.version > own)
+      putInEffect(found.value, config, host);
+  }
+
   async function close(): Promise<void> {
     if (closing.signal.aborted) return;
     closing.abort();
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -1,4 +1,11 @@
-import {id, type Firm, type Logger} from '@chivewick/common';
+import {
+  fail,
+  id,
+  type Firm,
+  type HostId,
+  type Logger,
+  type Result,
+} from '@chivewick/common';
 import {
   createRelayedFeed,
   type RelayClient,
@@ -6,12 +13,18 @@
   type RelayService,
 } from '@chivewick/feed-relay';
 import {createPeers} from '@chivewick/peers';
-import type {ObjectFeed} from '@chivewick/platform';
+import type {ObjectFeed, StoredObject} from '@chivewick/platform';
 import type {FleetHost} from './fleet.js';
 import type {GatewayMetrics} from './metrics.js';
 
-/** Methods of `RelayService` on the connections between hosts. */
-const METHODS = {list: 'feed.list', changes: 'feed.changes'} as const;
+/** Methods on the connections between hosts. */
+const METHODS = {
+  list: 'feed.list',
+  changes: 'feed.changes',
+  adopted: 'config.adopted',
+} as const;
+/** Time within which a configuration can be sent. */
+const ADOPTED_TIMEOUT_MS = 1_000;
 /**
  * The network of a deployment is closed to other deployments, so that the hosts
  * share no secret beyond the settings that they are started with.
@@ -26,6 +39,8 @@
 /** A feed that is read through another host of the failure domain. */
 export interface Relay {
   readonly feed: ObjectFeed;
+  /** The configuration that another host has in effect. */
+  adoptedBy(host: HostId): Promise<Result<StoredObject>>;
   close(): Promise<void>;
 }
 
@@ -35,7 +50,7 @@
  * cannot be bound.
  *
  * @example
- * const relay = await startRelay({self, store, role, effectMs, metrics, log});
+ * const relay = await startRelay({self, store, role, effectMs, hosts, adopted, metrics, log});
  */
 export async function startRelay(options: {
   readonly self: FleetHost;
@@ -43,6 +58,10 @@
   readonly role: () => ReaderRole;
   /** Shortest time within which a change must take effect, in milliseconds. */
   readonly effectMs: () => number;
+  /** Hosts that may be asked for their configuration. */
+  readonly hosts: () => readonly FleetHost[];
+  /** The object of the configuration that this host has in effect. */
+  readonly adopted: () => StoredObject | undefined;
   readonly metrics: Pick<GatewayMetrics, 'outdated'>;
   readonly log: Logger;
 }): Promise<Relay> {
@@ -83,5 +102,32 @@
     METHODS.changes,
     params => service.changes(params),
   );
-  return {feed, close: () => peers.close()};
+  peers.handle(METHODS.adopted, () => {
+    const object = options.adopted();
+    return object === undefined
+      ? Promise.reject(new Error('no configuration yet'))
+      : Promise.resolve(object);
+  });
+
+  async function adoptedBy(host: HostId): Promise<Result<StoredObject>> {
+    const known = options.hosts().find(({id}) => id === host);
+    if (known === undefined) return fail('endpoint_failed', 'unknown host');
+    peers.setAddress(host, known.address);
+    const timeoutMs = ADOPTED_TIMEOUT_MS;
+    const found = await peers.call<StoredObject>(
+      host,
+      METHODS.adopted,
+      {},
+      {timeoutMs},
+    );
+    return !found.ok || isObject(found.value)
+      ? found
+      : fail('endpoint_failed', 'invalid configuration');
+  }
+
+  return {feed, adoptedBy, close: () => peers.close()};
+}
+
+function isObject(value: Partial<StoredObject> | null): boolean {
+  return typeof value?.key === 'string' && Number.isSafeInteger(value.version);
 }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -32,6 +32,7 @@
   type Server,
   type Socket,
 } from 'node:net';
+import type {FleetHost} from '../src/fleet.js';
 import {startGateway, type Gateway} from '../src/gateway.js';
 import type {
   Dialect,
@@ -405,6 +406,13 @@
   repath: () => Promise.resolve({kind: 'unknown', message: 'no engine'}),
 };
 
+/** A configuration that another host has sent has lost its maps. */
+function reviveConfig(value: RoutingConfig): RoutingConfig {
+  return value.services instanceof Map
+    ? value
+    : config({version: value.version});
+}
+
 /** Starts a gateway with a fake store, and waits until it has its endpoints. */
 export async function startHarness(options: {
   /** Hosts that open tunnels. */
@@ -415,6 +423,9 @@
   records?: readonly EndpointRecord[];
   bounds?: Partial<HostBounds>;
   control?: EngineControl;
+  name?: string;
+  /** Other hosts of the fleet. */
+  others?: readonly FleetHost[];
 }) {
   const store = createFakeFeed();
   const [callers, readiness, metrics, tunnels, peers] = await Promise.all([
@@ -429,6 +440,13 @@
     store.put(`endpoints/${item.id}`, item);
   }
   const random = createRandom();
+  const self: FleetHost = {
+    id: id<HostId>(options.name ?? 'host-1'),
+    address: `127.0.0.1:${peers}`,
+    failureDomain: id<FailureDomain>('a'),
+    cores: 1,
+  };
+  const others = [...(options.others ?? [])];
   const paths = createDirectPaths({onChange: () => {}});
   const gateway = await startGateway({
     paths,
@@ -439,12 +457,7 @@
       random,
       openDirect: options.openDirect,
     }),
-    self: {
-      id: id<HostId>('host-1'),
-      address: `127.0.0.1:${peers}`,
-      failureDomain: id<FailureDomain>('a'),
-      cores: 1,
-    },
+    self,
     addresses: {
       callers: `127.0.0.1:${callers}`,
       readiness: `127.0.0.1:${readiness}`,
@@ -458,11 +471,11 @@
     control: options.control ?? NO_CONTROL,
     log: createSilentLogger(),
     kinds: {config: 'config', endpoints: 'endpoints'},
-    readConfig: object => object.value as RoutingConfig,
+    readConfig: ({value}) => reviveConfig(value as RoutingConfig),
     readEndpoint: object => object.value as EndpointRecord,
     fleet: {
-      count: () => 1,
-      others: () => [],
+      count: () => 1 + others.length,
+      others: () => others,
       isKnown: () => true,
       ready: () => Promise.resolve(),
       domains: () => [id<FailureDomain>('a')],
@@ -478,6 +491,7 @@
   return {
     gateway,
     store,
+    self,
     port: callers,
     readinessPort: readiness,
     metricsPort: metrics,
