--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -4,7 +4,6 @@
   Logger,
   ServiceName,
 } from '@chivewick/common';
-import {eraOf} from '@chivewick/platform';
 import {createEntryHistory} from './entry-history.js';
 import type {EndpointRecord} from './types.js';
 
@@ -21,9 +20,9 @@
 const OUTAGE_EXPIRY_MS = 3_000;
 /**
  * Time for which an endpoint is used whose entry is missing from an older copy of the
- * store. It writes its entry again with its next heartbeat.
+ * store: it writes its entry again within 2 s, which this host learns later.
  */
-const RESTORE_GRACE_MS = 2_000;
+const RESTORE_GRACE_MS = 2_000 + REMOVAL_NOTICE_MS;
 /** Weight of the newest response time in the moving average. */
 const LATENCY_GAIN = 0.2;
 /** Assumed response time of an endpoint that has not responded yet. */
@@ -140,7 +139,7 @@
       known.retained = undefined;
       return ignore(record, known.record);
     }
-    if (known === undefined && history.withholds(record)) return ignore(record);
+    if (known === undefined && history.withhold(record)) return ignore(record);
     const isNew =
       known === undefined || known.record.startedAtMs !== record.startedAtMs;
     const isReassigned =
@@ -216,15 +215,6 @@
     state.retained ??= {untilMs: now() + forMs, version};
   }
 
-  /** Takes over that an entry is missing from a listing. */
-  function removeUnlisted(state: EndpointState, version: number): void {
-    const {record} = state;
-    const isRestored = eraOf(version) > eraOf(record.storeVersion);
-    if (isRestored && record.state === 'ready')
-      retain(state, RESTORE_GRACE_MS, version);
-    else remove(record.id, version);
-  }
-
   function drop(state: EndpointState, reason: string, version: number): void {
     state.removed = true;
     states.delete(state.record.id);
@@ -257,15 +247,22 @@
   return {
     replaceAll(records, version) {
       const listed = new Set(records.map(record => record.id));
-      history.listed(listed, version);
-      for (const state of [...states.values()])
-        if (!listed.has(state.record.id)) removeUnlisted(state, version);
+      const isRestored = history.listed(listed, version);
+      for (const state of [...states.values()]) {
+        const {id, state: reported} = state.record;
+        if (listed.has(id)) continue;
+        // The copy may be from before the endpoint started.
+        if (isRestored && reported === 'ready')
+          retain(state, RESTORE_GRACE_MS, version);
+        else remove(id, version);
+      }
       for (const record of records) upsert(record);
     },
     upsert,
     remove,
     storeUnavailable() {
       outageAtMs = now();
+      history.postpone();
     },
     domainAt: index => domains[index],
     get: endpoint => states.get(endpoint),
