Act on no acquisition that a restore brings back

Change: writes that are not confirmed are forgotten when the store was restored and the lease cannot be continued.

Measured: the new test of lease.test.ts fails before and passes after.

--- a/packages/orders/src/lease.ts
+++ b/packages/orders/src/lease.ts
@@ -121,8 +121,8 @@
     return true;
   }
 
-  /** Whether the store was restored since this host last read or wrote the lease. */
-  function isRestored(version: number): boolean {
+  /** Notes the era; returns whether the store was restored since this host noted it. */
+  function noteEra(version: number): boolean {
     const previous = seenEra;
     seenEra = eraOf(version);
     return previous !== undefined && seenEra > previous;
@@ -130,9 +130,12 @@
 
   /** Whether a lease of this session is still its own; another may have been lost. */
   function confirm(value: LeaseValue, version: number): boolean {
-    if (isRestored(version)) return resume(value, version);
-    adopt(value, version);
-    return held !== undefined;
+    const isRestored = noteEra(version);
+    if (isRestored && resume(value, version)) return true;
+    // Another host may have acquired the lease after these writes.
+    if (isRestored) writes.clear();
+    else adopt(value, version);
+    return !isRestored && held !== undefined;
   }
 
   function markUncertain(): void {
@@ -159,7 +162,7 @@
     writes.set(value.writeId, markClocks(clocks));
     const outcome = await platform.put(LEASE_KEY, value, expected);
     if (outcome.kind === 'written') {
-      seenEra = eraOf(outcome.version);
+      noteEra(outcome.version);
       adopt(value, outcome.version);
     }
     // The stored version is newer. The next read shows whether it is an own
@@ -188,7 +191,7 @@
         return;
       }
     }
-    if (read.value !== undefined) seenEra = eraOf(read.value.version);
+    if (read.value !== undefined) noteEra(read.value.version);
     dropLease(value.holder);
     const nowMs = clocks.monotonicMs();
     if (observed?.version !== version) observed = {version, sinceMs: nowMs};
--- a/packages/orders/test/lease.test.ts
+++ b/packages/orders/test/lease.test.ts
@@ -18,6 +18,7 @@
   let timeOfDay = 1_800_000_000_000;
   let stored: StoredObject | undefined;
   let era = 0;
+  let losesResponse = false;
   const fences: number[] = [];
   const store: ObjectStore = {
     get: () => Promise.resolve(ok(stored)),
@@ -28,6 +29,7 @@
       const version = (stored?.version ?? 0) + 1;
       stored = {key, version, value};
       fences.push((value as {fence: number}).fence);
+      if (losesResponse) return Promise.resolve({kind: 'unknown', message: ''});
       return Promise.resolve({kind: 'written', version});
     },
   };
@@ -66,6 +68,7 @@
     /** Fencing numbers in the order of the writes. */
     fences,
     copy: () => stored,
+    setLosesResponse: (loses: boolean) => void (losesResponse = loses),
     /** Brings back a copy, in a new era. */
     restore(copy: StoredObject | undefined) {
       era += 1;
@@ -204,3 +207,22 @@
   await first.step(0);
   assert.deepEqual([first.fence(), second.fence()], [undefined, 2]);
 });
+
+test('lease: a lost acquisition that a restore brings back is not acted on', async () => {
+  const harness = createHarness();
+  const [first, second] = [harness.leaseOf('a'), harness.leaseOf('b')];
+  await second.step(0);
+  await second.release();
+  harness.setLosesResponse(true);
+  await first.step(0);
+  harness.setLosesResponse(false);
+  const copy = harness.copy();
+  await second.step(0);
+  harness.advance(5_001);
+  await second.step(0);
+  assert.deepEqual([first.fence(), second.fence()], [undefined, 3]);
+  harness.restore(copy);
+  await first.step(0);
+  await first.step(0);
+  assert.deepEqual([first.fence(), second.fence()], [undefined, 3]);
+});
