Read no changes through a host of an earlier era or build

Change: a change log of an earlier era than the asker's is unavailable, so that the store is read; the methods between hosts have new names, so that builds before and after this one do not read through each other.

Measured: the tests of feed-relay and restored-store.test.ts pass; a fleet of two builds was not run.

--- a/packages/feed-relay/src/change-log.ts
+++ b/packages/feed-relay/src/change-log.ts
@@ -4,11 +4,12 @@
   type ClockMark,
   type Clocks,
 } from '@chivewick/common';
-import type {
-  ChangeBatch,
-  Listing,
-  ObjectChange,
-  StoredObject,
+import {
+  eraOf,
+  type ChangeBatch,
+  type Listing,
+  type ObjectChange,
+  type StoredObject,
 } from '@chivewick/platform';
 
 /**
@@ -139,6 +140,9 @@
     const afterMs = confirmedAfterMs(askedAtMs);
     if (objects === undefined || afterMs === undefined)
       return {kind: 'unavailable', message: failure ?? 'not confirmed yet'};
+    // Nothing that this host reads can be new to the one that asks.
+    if (eraOf(since) > eraOf(version))
+      return {kind: 'unavailable', message: 'of an earlier era'};
     if (since < recentSince) return {kind: 'history_lost'};
     return {
       kind: 'changes',
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -17,10 +17,13 @@
 import type {FleetHost} from './fleet.js';
 import type {GatewayMetrics} from './metrics.js';
 
-/** Methods on the connections between hosts. */
+/**
+ * Methods on the connections between hosts. Earlier builds, whose versions have no era,
+ * have others, so that neither takes the versions of the other.
+ */
 const METHODS = {
-  list: 'feed.list',
-  changes: 'feed.changes',
+  list: 'feed.listOfEra',
+  changes: 'feed.changesOfEra',
   adopted: 'config.adopted',
 } as const;
 /** Time within which a configuration can be sent. */
