Suspect no engine for a report that a host which is cut off gets too late

Cause: when a stream falls silent, the host asks all engines of its path for a report, for 70 ms. At a host that has just been cut off, the first connections take longer, as the hosts that it asks for a tunnel may be cut off too. As soon as one report had arrived, the engines without one were suspected, and other hosts were told.

Change: while a host expects losses (two in a row, no connection of its own since), an engine without a report is suspected only if another host finds it down. The same holds for the checks of suspected engines. An engine that hangs is still found by the stage before it and by other hosts. One answer serves all streams, as for reports.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -185,9 +185,13 @@
       isWriter: () => coordination.ranks.isCoordinator(),
       signal: closing.signal,
     });
+  /** A host that is cut off gets reports too late; another host knows. */
+  const isDown = async (address: string) =>
+    !paths.expectsLoss() || dialer.isDown(address);
   const suspects = recheckSuspects({
     table,
     control: options.control,
+    isDown,
     signal: closing.signal,
     isResponsible: state => coordination.isResponsible(state),
   });
@@ -197,7 +201,7 @@
     table,
     allowance,
     control: options.control,
-    probe: createPathProbe(options.control, table, () => fleet.count()),
+    probe: createPathProbe(options.control, table, () => fleet.count(), isDown),
     metrics,
     random,
     log,
--- a/packages/gateway/src/path-probe.ts
+++ b/packages/gateway/src/path-probe.ts
@@ -17,7 +17,7 @@
 
 /** Result of probing the stages of a path. */
 export interface PathFindings {
-  /** Stages that did not respond. */
+  /** Stages that did not respond, and are not merely out of this host's reach. */
   readonly dead: readonly Stage[];
   /** Address of the stage that the first stage waits for. */
   readonly waitsFor?: string;
@@ -30,9 +30,12 @@
   check(stages: readonly Stage[], requestId: string): Promise<PathFindings>;
 }
 
+/** What a stage has reported; undefined if it is down. */
+type StageReport = EngineReport | 'unknown' | undefined;
+
 interface SharedReport {
   readonly atMs: number;
-  readonly report: Promise<EngineReport | undefined>;
+  readonly report: Promise<StageReport>;
 }
 
 /**
@@ -40,6 +43,7 @@
  * dead stage only after hundreds of milliseconds, longer than a gap between events
  * may last. Streams that stall together share the reports.
  *
+ * @param isDown whether an endpoint without a report in time is down.
  * @example
  * const {dead} = await probe.check(stages, requestId);
  */
@@ -47,6 +51,7 @@
   control: EngineControl,
   table: EndpointTable,
   hosts: () => number,
+  isDown: (address: string) => Promise<boolean>,
 ): PathProbe {
   const sharedReports = new Map<string, SharedReport>();
   let tokens = MAX_PROBE_BURST;
@@ -67,16 +72,20 @@
     return (table.get(endpoint)?.suspectedUntilMs ?? 0) > performance.now();
   }
 
-  function requestReport(
-    stage: Stage,
-  ): Promise<EngineReport | undefined | 'not asked'> {
+  async function fetchReport(address: string): Promise<StageReport> {
+    const report = await control.report(address, PROBE_TIMEOUT_MS);
+    if (report !== undefined) return report;
+    return (await isDown(address)) ? undefined : 'unknown';
+  }
+
+  function requestReport(stage: Stage): Promise<StageReport> {
     const nowMs = performance.now();
     for (const [address, {atMs}] of sharedReports)
       if (nowMs - atMs >= REPORT_REUSE_MS) sharedReports.delete(address);
     const known = sharedReports.get(stage.address);
     if (known !== undefined) return known.report;
-    if (!mayProbe()) return Promise.resolve('not asked');
-    const report = control.report(stage.address, PROBE_TIMEOUT_MS);
+    if (!mayProbe()) return Promise.resolve('unknown');
+    const report = fetchReport(stage.address);
     sharedReports.set(stage.address, {atMs: nowMs, report});
     return report;
   }
@@ -91,7 +100,7 @@
       let responseCount = 0;
       for (const [index, report] of reports.entries()) {
         const stage = stages[index];
-        if (report === 'not asked') continue;
+        if (report === 'unknown') continue;
         if (report === undefined) {
           dead.push(stage);
           continue;
--- a/packages/gateway/src/recheck-suspects.ts
+++ b/packages/gateway/src/recheck-suspects.ts
@@ -25,16 +25,18 @@
  * that coordinator repeats it, so that probes do not grow with the fleet.
  *
  * @example
- * const checks = recheckSuspects({table, control, signal, isResponsible: () => true});
+ * const checks = recheckSuspects({table, control, isDown, signal, isResponsible: () => true});
  */
 export function recheckSuspects(options: {
   readonly table: EndpointTable;
   readonly control: EngineControl;
+  /** Whether an endpoint without a report in time is down. */
+  readonly isDown: (address: string) => Promise<boolean>;
   readonly signal: AbortSignal;
   /** Whether this host is the one that probes an endpoint for all hosts. */
   readonly isResponsible: (state: EndpointState) => boolean;
 }): SuspectChecks {
-  const {table, control, signal} = options;
+  const {table, control, isDown, signal} = options;
   const rechecking = new Set<EndpointState>();
   const verifiedAtMs = new WeakMap<EndpointState, number>();
 
@@ -48,7 +50,8 @@
         table.clearSuspicion(state);
         break;
       }
-      table.suspect(state, 'did not respond to a probe');
+      if (await isDown(address))
+        table.suspect(state, 'did not respond to a probe');
       await pause(RECHECK_MS, signal);
     }
     rechecking.delete(state);
--- a/packages/gateway/test/cut-off.test.ts
+++ b/packages/gateway/test/cut-off.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 import {after, test} from 'node:test';
+import type {EngineReport} from '../src/types.js';
 import {
   closeHarnesses,
   config,
@@ -30,16 +31,22 @@
 const event = (number: number) => `id: ${number}\ndata: ${number}\n\n`;
 const works = respond(event(1));
 
-/** A host that reaches an endpoint in place of each that has crashed for this one. */
+/**
+ * A host that reaches an endpoint in place of each that has crashed for this one, apart from
+ * one that refuses its connections too.
+ */
 async function startTunnelHost(
   endpoint: FakeEndpoint,
+  refusing?: string,
 ): Promise<{host: TunnelHost; opened: () => number; end: () => void}> {
   let opened = 0;
   const clients = new Set<Socket>();
   const server = createServer(client => {
     clients.add(client);
     client.on('error', () => {});
-    client.once('data', () => {
+    client.once('data', line => {
+      if (refusing !== undefined && line.includes(refusing))
+        return void client.end('refused\n');
       opened += 1;
       const [ip, port] = endpoint.address.split(':');
       const upstream = connect(Number(port), ip);
@@ -189,3 +196,45 @@
     const {status, complete} = await reply;
     assert.equal(status === 200 && complete, false);
   });
+
+const ALIVE: EngineReport = {orderCount: 0, slowness: 1, stalled: []};
+const QUIET = '127.0.0.1:5';
+
+/** Whether an engine without a report in time is suspected at a host that is cut off. */
+async function isQuietSuspected(refusing?: string): Promise<boolean> {
+  const real = await startEndpoint(begins(event(1)));
+  const tunnel = await startTunnelHost(real, refusing);
+  const half = (name: string, address: string, from: number) =>
+    record(name, address, {...STREAM, layers: {from, to: from + 40}});
+  const unexpected = {kind: 'unknown', message: 'not expected'} as const;
+  const {port, gateway} = await startHarness({
+    config: config({routes: [STREAM_ROUTE]}),
+    records: [
+      half('first', '127.0.0.1:2', 0),
+      half('second', '127.0.0.1:3', 0),
+      half('third', '127.0.0.1:4', 0),
+      half('quiet', QUIET, 40),
+    ],
+    tunnelHosts: [tunnel.host],
+    openDirect: () => Promise.reject(new Error('connect timeout')),
+    control: {
+      report: address => Promise.resolve(address === QUIET ? undefined : ALIVE),
+      place: () => Promise.resolve(unexpected),
+      repath: () => Promise.resolve(unexpected),
+    },
+  });
+  for (const name of ['q', 'r', 's'])
+    void sendRequest(port, {headers: {'request-id': name}, body: name});
+  await until(() => real.heads.length === 3);
+  await new Promise(done => setTimeout(done, 700));
+  const quiet = gateway.table.all().find(({record}) => record.id === 'quiet');
+  return quiet!.suspectedUntilMs > 0;
+}
+
+test('cut off: an engine whose report does not arrive is not suspected while it is up', async () => {
+  assert.equal(await isQuietSuspected(), false);
+});
+
+test('cut off: an engine whose report does not arrive is suspected if it refuses another host', async () => {
+  assert.equal(await isQuietSuspected(QUIET), true);
+});
--- a/packages/gateway/test/path-probe.test.ts
+++ b/packages/gateway/test/path-probe.test.ts
@@ -26,7 +26,12 @@
     },
   } as unknown as EngineControl;
   const table = createEndpointTable(createSilentLogger(), () => 2_000);
-  const probe = createPathProbe(control, table, () => 1);
+  const probe = createPathProbe(
+    control,
+    table,
+    () => 1,
+    () => Promise.resolve(true),
+  );
   const check = (port: number) =>
     probe.check(
       [
