Take a refusal for a verdict once a second host is refused too

Cause: a host that gets no connection asks another one, and believes it when that one is refused too. The other host may be cut off as well; it says so only after two losses.

Change: the next host is asked before a refusal counts. It counts if a second one is refused, or if no other can tell, so that a crash takes a few milliseconds more to see.

--- a/packages/tunnels/src/dialer.ts
+++ b/packages/tunnels/src/dialer.ts
@@ -121,16 +121,23 @@
 
   async function openTunnel(address: string): Promise<Connection> {
     const untilMs = performance.now() + MAX_TRYING_MS;
+    let isRefused = false;
     for (const host of hostsToTry()) {
       if (performance.now() > untilMs) break;
       const {socket, reply} = await ask(host, address);
       if (reply === REPLIES.opened && socket !== undefined)
         return {socket, frames: createFrameReader()};
       socket?.destroy();
-      if (reply === REPLIES.refused) throw new RefusedError('refused');
+      if (reply === REPLIES.refused) {
+        // The first one may be cut off itself, and not know it yet.
+        if (isRefused) break;
+        isRefused = true;
+        continue;
+      }
       if (reply === REPLIES.silent) throw new Error('connect timeout');
       avoidedUntilMs.set(host.id, performance.now() + AVOIDED_MS);
     }
+    if (isRefused) throw new RefusedError('refused');
     throw new UnreachableError('no other host has a connection');
   }
 
