--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -340,6 +340,7 @@
   }
 
   function adoptConfig(object: StoredObject): void {
+    // Listings repeat the configuration, which may have a megabyte to decode.
     if (object.version <= (adopted?.object.version ?? 0)) return;
     const config = options.readConfig(object);
     if (config === undefined) return;
