Guard the fencing number and the era of listings over a restore

Cause: the review changed compiled code, and no test failed when a continued lease took the fencing number of the copy, or when a listing of an earlier era was used.

Change: a test for each.

--- a/packages/feed-relay/test/relayed-feed.test.ts
+++ b/packages/feed-relay/test/relayed-feed.test.ts
@@ -2,7 +2,12 @@
 // frozen, cut off from the store or behind, and against calls to the store that
 // grow with the fleet.
 import {fail, id, ok, type HostId, type Result} from '@chivewick/common';
-import type {ChangeBatch, Listing, ObjectFeed} from '@chivewick/platform';
+import {
+  storeVersion,
+  type ChangeBatch,
+  type Listing,
+  type ObjectFeed,
+} from '@chivewick/platform';
 import FakeTimers from '@sinonjs/fake-timers';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
@@ -231,3 +236,17 @@
   assert.equal(calls.store, 1);
   assert.deepEqual(listing.ok && listing.value.objects, []);
 });
+
+// The response may have been under way when the store was restored.
+test('relay: a listing of an earlier era than another host has told is not used', async () => {
+  const {feed, behavior, calls} = startHarness();
+  behavior.listing = {
+    objects: [],
+    version: storeVersion(1, 3)!,
+    confirmedAfterMs: 0,
+  };
+  assert.equal((await feed.listKind('k')).ok, true);
+  behavior.listing = {...behavior.listing, version: 5};
+  const listing = await feed.listKind('k');
+  assert.deepEqual([listing.ok, calls.store], [false, 1]);
+});
--- a/packages/orders/test/lease.test.ts
+++ b/packages/orders/test/lease.test.ts
@@ -226,3 +226,19 @@
   await first.step(0);
   assert.deepEqual([first.fence(), second.fence()], [undefined, 3]);
 });
+
+test('lease: a restored renewal does not bring back a lower fencing number', async () => {
+  const harness = createHarness();
+  const lease = harness.leaseOf('a');
+  await lease.step(0);
+  const copy = harness.copy();
+  lease.invalidate(true);
+  await lease.step(0);
+  await lease.step(0);
+  assert.equal(lease.fence(), 2);
+  harness.restore(copy);
+  await lease.step(0);
+  await lease.step(0);
+  assert.equal(lease.fence(), 2);
+  assert.equal(harness.fences.at(-1), 2);
+});
