Take silence for a verdict once a second host says so too

The caller's try fails, and what asks `isDown` takes the endpoint for dead: suspicions and evidence of crashes.

Cause: as for refusals, the failure of one's own link is taken for a verdict on the peer. Where links hang, the other host that is cut off as well answers "silent", until it has noticed two losses of its own.

Change: the next host is asked before silence counts, as before a refusal counts. It counts if a second host gives a verdict, or if no other can tell.

--- a/packages/tunnels/src/dialer.ts
+++ b/packages/tunnels/src/dialer.ts
@@ -121,23 +121,26 @@
 
   async function openTunnel(address: string): Promise<Connection> {
     const untilMs = performance.now() + MAX_TRYING_MS;
-    let isRefused = false;
+    let verdict: Error | undefined;
     for (const host of hostsToTry()) {
       if (performance.now() > untilMs) break;
       const {socket, reply} = await ask(host, address);
       if (reply === REPLIES.opened && socket !== undefined)
         return {socket, frames: createFrameReader()};
       socket?.destroy();
-      if (reply === REPLIES.refused) {
+      if (reply === REPLIES.refused || reply === REPLIES.silent) {
+        const isRefused = reply === REPLIES.refused;
+        const found = isRefused
+          ? new RefusedError('refused')
+          : new Error('connect timeout');
         // The first one may be cut off itself, and not know it yet.
-        if (isRefused) break;
-        isRefused = true;
+        if (verdict !== undefined) throw found;
+        verdict = found;
         continue;
       }
-      if (reply === REPLIES.silent) throw new Error('connect timeout');
       avoidedUntilMs.set(host.id, performance.now() + AVOIDED_MS);
     }
-    if (isRefused) throw new RefusedError('refused');
+    if (verdict !== undefined) throw verdict;
     throw new UnreachableError('no other host has a connection');
   }
 
--- a/packages/tunnels/test/refusals.test.ts
+++ b/packages/tunnels/test/refusals.test.ts
@@ -31,7 +31,7 @@
 /** A host with one answer to all requests for a connection. */
 async function startHost(
   name: string,
-  reply: 'opened' | 'refused' | 'unknown',
+  reply: 'opened' | 'refused' | 'silent' | 'unknown',
 ): Promise<TunnelHost> {
   const server = createServer(socket => {
     socket.on('error', () => {});
@@ -76,6 +76,15 @@
   assert.equal(bytes.toString(), 'response');
 });
 
+test('refusals: an endpoint is not down because it is silent to one other host', async () => {
+  const hosts = [
+    await startHost('b', 'silent'),
+    await startHost('c', 'opened'),
+  ];
+  const [bytes] = (await once(dial(hosts), 'data')) as [Buffer];
+  assert.equal(bytes.toString(), 'response');
+});
+
 for (const replies of [
   ['refused'],
   ['refused', 'unknown'],
