Keep endpoints that an older copy lacks over a second listing

After a restore of the store, an endpoint that the copy lacks stays in use for 3 s, until it writes its entry again. What callers see: fewer endpoints, 503 if all are new; and the endpoint counts as a new run when it is back, as after a crash.

Cause: only the first listing of an era retained what is missing; the next one took it for a removal. A host that reads through another one lists twice: from the store while the other host is still of the earlier era, and again from the other host, whose log begins at its own, later listing and answers `history_lost` to the version of the first.

Change: a listing leaves an endpoint alone that is retained already; its time ends as before.

Evidence: the new test of endpoint-table.test.ts failed before (0 endpoints usable in place of 1), 22 of 22 pass now.

--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -250,7 +250,8 @@
       const isRestored = history.listed(listed, version);
       for (const state of [...states.values()]) {
         const {id, state: reported} = state.record;
-        if (listed.has(id)) continue;
+        // One that is retained waits for its time, also if the next listing lacks it.
+        if (listed.has(id) || state.retained !== undefined) continue;
         // The copy may be from before the endpoint started.
         if (isRestored && reported === 'ready')
           retain(state, RESTORE_GRACE_MS, version);
--- a/packages/gateway/test/endpoint-table.test.ts
+++ b/packages/gateway/test/endpoint-table.test.ts
@@ -147,6 +147,17 @@
   assert.equal(usable(), 1);
 });
 
+// A host that reads through another one lists again once that one has listed.
+test('endpoints: after a restore, one that the copy lacks is used over a second listing', () => {
+  const {table, usable, advance} = setup();
+  table.replaceAll([], COPIED);
+  advance(100);
+  table.replaceAll([], COPIED + 1);
+  assert.equal(usable(), 1);
+  advance(3_000);
+  assert.equal(usable(), 0);
+});
+
 test('endpoints: after a restore, one that the copy lacks is dropped if it does not write', () => {
   const {table, usable, advance} = setup();
   table.replaceAll([], COPIED);
