Hold no failures against an endpoint that another host reaches

Cause: the failure of one's own link is taken for a verdict on the peer. That this host was cut off was known for requests that were ended for it, and for those that reach their deadline later, and both still counted; those that a reset had ended before were not taken back.

Change: a request that was sent before this host was cut off from its endpoint, and that gets no response, is no failure. When this host learns that another one reaches an endpoint that it does not reach itself, the failures and the suspicion of that endpoint are taken back.

That a coordinator passes such a suspicion on was read, not run.

--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -99,6 +99,8 @@
   clearOthersLoad(): void;
   /** Clears the suspicion of an endpoint that has responded. */
   clearSuspicion(state: EndpointState): void;
+  /** Takes back what failures at this host say of an endpoint that another one reaches. */
+  clearFailures(address: string): void;
   /** Registers a listener for new suspicions; returns its unsubscribe function. */
   onSuspected(fn: (state: EndpointState) => void): () => void;
   /** Time since the set of endpoints last changed, in milliseconds. */
@@ -315,6 +317,13 @@
     clearSuspicion(state) {
       state.suspectedUntilMs = 0;
     },
+    clearFailures(address) {
+      for (const state of states.values()) {
+        if (state.record.address !== address) continue;
+        state.consecutiveFailures = 0;
+        state.suspectedUntilMs = 0;
+      }
+    },
     onSuspected(fn) {
       listeners.add(fn);
       return () => void listeners.delete(fn);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -185,6 +185,7 @@
       isWriter: () => coordination.ranks.isCoordinator(),
       signal: closing.signal,
     });
+  const unsubscribeLost = paths.onLost(table.clearFailures);
   /** A host that is cut off gets reports too late; another host knows. */
   const isDown = async (address: string) =>
     !paths.expectsLoss() || dialer.isDown(address);
@@ -385,6 +386,7 @@
     if (closing.signal.aborted) return;
     closing.abort();
     coordination.close();
+    unsubscribeLost();
     paths.close();
     tunnels?.close();
     for (const server of servers) {
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -241,6 +241,8 @@
   state.running += 1;
   return new Promise<Outcome>(resolve => {
     let sent = false;
+    /** Whether another host reaches the endpoint while this one no longer does. */
+    let isCutOff = false;
     let status = 0;
     let headers: Headers = {};
     const received = createByteBuffer();
@@ -253,7 +255,10 @@
       ctx.gaveUp.removeEventListener('abort', onGaveUp);
       unsubscribe();
       state.running -= 1;
-      updateEndpoint(ctx, state, outcome, performance.now() - startMs);
+      const hasResponse =
+        outcome.kind === 'answer' || outcome.kind === 'not_run';
+      if (hasResponse || !isCutOff)
+        updateEndpoint(ctx, state, outcome, performance.now() - startMs);
       resolve(outcome);
     };
     const onCallerLeft = () => {
@@ -272,7 +277,9 @@
     ctx.gaveUp.addEventListener('abort', onGaveUp);
     // No response will arrive; a request that may be repeated goes another way.
     const unsubscribe = ctx.dialer.onLost(lost => {
-      if (!sent || lost !== address || rule.kind !== 'repeatable') return;
+      if (!sent || lost !== address) return;
+      isCutOff = true;
+      if (rule.kind !== 'repeatable') return;
       call.abort();
       finish({kind: 'unknown', reason: 'this host was cut off'});
     });
--- a/packages/gateway/test/cut-off.test.ts
+++ b/packages/gateway/test/cut-off.test.ts
@@ -238,3 +238,39 @@
 test('cut off: an engine whose report does not arrive is suspected if it refuses another host', async () => {
   assert.equal(await isQuietSuspected(QUIET), true);
 });
+
+for (const end of ['refuse', 'crash'] as const)
+  test(`cut off: an endpoint is not suspected for requests that are lost with their link (${end})`, async () => {
+    const silent: Behavior = () => {};
+    const endpoints = await endpointsOf(silent, 1);
+    const real = await startEndpoint(works);
+    const {port, gateway} = await start('repeatable', endpoints, real);
+    const [{heads}] = endpoints;
+    const replies = [1, 2, 3, 4].map(n =>
+      sendRequest(port, {headers: {'request-id': `q${n}`}, body: `${n}`}),
+    );
+    await until(() => heads.length === 4);
+    endpoints[0][end]();
+    replies.push(sendRequest(port, {headers: {'request-id': 'r'}, body: 'r'}));
+    await Promise.all(replies);
+    const [state] = gateway.table.all();
+    assert.equal(state.suspectedUntilMs, 0);
+  });
+
+test('cut off: an endpoint is not suspected for requests that end after their link has failed', async () => {
+  const silent: Behavior = () => {};
+  const endpoints = await endpointsOf(silent, 1);
+  const real = await startEndpoint(works);
+  const {port, gateway} = await start('once', endpoints, real);
+  const [{heads, refuse}] = endpoints;
+  const headers = {'deadline-ms': '500'};
+  const replies = [1, 2, 3, 4].map(n =>
+    sendRequest(port, {headers, body: `${n}`}),
+  );
+  await until(() => heads.length === 4);
+  refuse();
+  assert.equal((await sendRequest(port, {body: 'r'})).status, 200);
+  for (const reply of replies) assert.equal((await reply).status, 504);
+  const [state] = gateway.table.all();
+  assert.equal(state.suspectedUntilMs, 0);
+});
