Take no configuration back that the store has replaced by a lower version

Cause: `fetchConfig` compared only the versions of the configurations, where `adoptConfig` goes by the order of the store within an era. The platform's operator writes increasing versions, so that this takes another writer, or a version that was far too high once.

Change: within an era a configuration of another host is taken only if the store's version is not lower either. Across eras the configuration's own version decides, as before.

--- a/packages/gateway/src/adopted-config.ts
+++ b/packages/gateway/src/adopted-config.ts
@@ -26,3 +26,22 @@
   const isSameEra = eraOf(version) === eraOf(adopted.object.version);
   return isSameEra || config.version >= adopted.config.version;
 }
+
+/**
+ * Whether the configuration that another host has replaces the one in effect. A host that
+ * does not reach the store may still have one that the store has replaced by a lower
+ * version.
+ *
+ * @example
+ * if (surpassesConfig(adopted, found, config)) adopt(config);
+ */
+export function surpassesConfig(
+  adopted: AdoptedConfig | undefined,
+  {version}: Pick<StoredObject, 'version'>,
+  config: Pick<RoutingConfig, 'version'>,
+): boolean {
+  if (adopted === undefined) return true;
+  if (config.version <= adopted.config.version) return false;
+  const isSameEra = eraOf(version) === eraOf(adopted.object.version);
+  return !isSameEra || version >= adopted.object.version;
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,7 +19,11 @@
 import {setMaxListeners} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import {countBufferedBytes} from './byte-buffer.js';
-import {replacesConfig, type AdoptedConfig} from './adopted-config.js';
+import {
+  replacesConfig,
+  surpassesConfig,
+  type AdoptedConfig,
+} from './adopted-config.js';
 import {createCallerServer} from './caller-server.js';
 import {createCatchUp} from './catch-up.js';
 import {startCoordination} from './coordination/index.js';
@@ -377,8 +381,7 @@
     const found = await relay.adoptedBy(host);
     if (!found.ok) return;
     const config = options.readConfig(found.value);
-    const own = routing?.config.version ?? 0;
-    if (config !== undefined && config.version > own)
+    if (config !== undefined && surpassesConfig(adopted, found.value, config))
       putInEffect(found.value, config, host);
   }
 
--- a/packages/gateway/test/catch-up.test.ts
+++ b/packages/gateway/test/catch-up.test.ts
@@ -81,3 +81,33 @@
   });
   assert.equal(seen.has(9), false);
 });
+
+test('catch-up: a configuration that the store has replaced is not taken back', async () => {
+  const [reader, other] = rankCoordinators(
+    id<FailureDomain>('a'),
+    ['h1', 'h2'].map(name => ({
+      id: id<HostId>(name),
+      failureDomain: id<FailureDomain>('a'),
+      cores: 1,
+    })),
+  );
+  const first = await startHarness({
+    name: other.id,
+    config: config({version: 10}),
+  });
+  const second = await startHarness({
+    name: reader.id,
+    config: config({version: 10}),
+    others: [first.self],
+  });
+  second.store.put('config/main', config({version: 9}));
+  await until(() => second.gateway.config()!.version === 9);
+  const seen = new Set<number>();
+  const watch = setInterval(
+    () => seen.add(second.gateway.config()!.version),
+    5,
+  );
+  await new Promise(done => setTimeout(done, 3_000));
+  clearInterval(watch);
+  assert.deepEqual([...seen], [9]);
+});
