Give the stand-ins of each process an address of its own

Stand-ins listened on ports of 127.0.0.1 that the kernel gives out, and tests of pipeline, engines, ledger and chivewickd close them and expect refusals (engines that crash, a service that refuses for a while and listens again on its port). A port that is closed may go to another process, which then seems to be the stand-in that has ended.

No failure of a test of these packages was traced to it.

--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -18,6 +18,7 @@
   type ObjectFeed,
   type StoredObject,
 } from '@chivewick/platform';
+import {LOOPBACK_HOST} from '@chivewick/stand-ins';
 import {
   createDialer,
   createDirectPaths,
@@ -276,12 +277,6 @@
   refuse(): void;
 }
 
-/**
- * An address of this process alone. One test file keeps up to 13,000 of the ports that the
- * kernel gives out, so that a port that is closed is soon another file's.
- */
-const ENDPOINT_HOST = `127.${1 + (process.pid >> 16)}.${(process.pid >> 8) & 255}.${process.pid & 255}`;
-
 const servers: Server[] = [];
 const gateways: Gateway[] = [];
 
@@ -311,8 +306,8 @@
     });
   });
   servers.push(server);
-  await new Promise<void>(done => server.listen(0, ENDPOINT_HOST, done));
-  endpoint.address = `${ENDPOINT_HOST}:${(server.address() as AddressInfo).port}`;
+  await new Promise<void>(done => server.listen(0, LOOPBACK_HOST, done));
+  endpoint.address = `${LOOPBACK_HOST}:${(server.address() as AddressInfo).port}`;
   return endpoint;
 }
 
--- a/stand-ins/src/common/serve.ts
+++ b/stand-ins/src/common/serve.ts
@@ -1,5 +1,6 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {LOOPBACK_HOST} from './loopback.js';
 
 /** A listening HTTP server. */
 export interface ListeningServer {
@@ -17,9 +18,9 @@
   const server = createServer(handler);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
-    server.listen(port, '127.0.0.1', resolve);
+    server.listen(port, LOOPBACK_HOST, resolve);
   });
-  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const address = `${LOOPBACK_HOST}:${(server.address() as AddressInfo).port}`;
   return {
     server,
     address,
--- a/stand-ins/src/engine/engine.ts
+++ b/stand-ins/src/engine/engine.ts
@@ -4,6 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import {Agent} from 'undici';
 import {createRandom} from '@chivewick/common';
+import {LOOPBACK_HOST} from '../common/loopback.js';
 import {NO_FAULTS, type EngineFaults} from './faults.js';
 import {createEngineApp, setFaults} from './http.js';
 import {createPrefixCache} from './prefix-cache.js';
@@ -91,7 +92,7 @@
     stop();
   };
   return {
-    address: `127.0.0.1:${port}`,
+    address: `${LOOPBACK_HOST}:${port}`,
     endpoint: engine.options.endpoint,
     setFaults: faults => setFaults(engine, faults),
     faults: () => engine.faults,
@@ -150,7 +151,7 @@
   const server = createServer(handler);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
-    server.listen(port, '127.0.0.1', resolve);
+    server.listen(port, LOOPBACK_HOST, resolve);
   });
   return server;
 }
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -1,5 +1,6 @@
 export * from './broken-responses/index.js';
 export * from './common/faults.js';
+export * from './common/loopback.js';
 export * from './common/serve.js';
 export * from './host-list/index.js';
 export * from './object-api/index.js';
--- a/stand-ins/src/service/service.ts
+++ b/stand-ins/src/service/service.ts
@@ -5,6 +5,7 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {LOOPBACK_HOST} from '../common/loopback.js';
 import {createRunLog, type RunLog} from './run-log.js';
 
 /**
@@ -46,8 +47,6 @@
   answerBytes: 0,
 };
 
-const LISTEN_HOST = '127.0.0.1';
-
 /**
  * Starts a service on loopback whose bookings must not be repeated:
  * `POST /slots` books, `GET /slots/{id}` and `GET /status` read, `GET /runs`
@@ -72,7 +71,7 @@
   });
   const closeConnections = () => sockets.forEach(socket => socket.destroy());
   const listen = (port: number) =>
-    new Promise<void>(resolve => server.listen(port, LISTEN_HOST, resolve));
+    new Promise<void>(resolve => server.listen(port, LOOPBACK_HOST, resolve));
   await listen(options.port ?? 0);
   const {port} = server.address() as AddressInfo;
   let reopenTimer: NodeJS.Timeout | undefined;
@@ -123,7 +122,7 @@
   }
 
   return {
-    address: `${LISTEN_HOST}:${port}`,
+    address: `${LOOPBACK_HOST}:${port}`,
     runs,
     setFaults,
     async close() {
