Take ports in tests that no other process is given

Cause: tests of tunnels and coordination let the kernel choose a port of 127.0.0.1, closed it and bound it later, or expected a refusal there; a port that is closed may go to another process in between.

Evidence: by reading, and the test of LOOPBACK_HOST in stand-ins; no failure was traced to it.

Change: these addresses are ports below those of the kernel, on LOOPBACK_HOST.

--- a/packages/gateway/test/coordination.test.ts
+++ b/packages/gateway/test/coordination.test.ts
@@ -9,6 +9,7 @@
   type HostId,
 } from '@chivewick/common';
 import {rankCoordinators} from '@chivewick/coordination';
+import {LOOPBACK_HOST} from '@chivewick/stand-ins';
 import assert from 'node:assert/strict';
 import {createSocket, type Socket} from 'node:dgram';
 import {afterEach, mock, test} from 'node:test';
@@ -39,28 +40,23 @@
   readonly verified: EndpointId[];
 }
 
-async function freeAddress(): Promise<string> {
-  const socket = await bind();
-  const {port} = socket.address();
-  await new Promise<void>(done => socket.close(() => done()));
-  return `127.0.0.1:${port}`;
-}
+/** Below the ports that the kernel gives out by itself. */
+let nextPort = 10_000;
+const freeAddress = () => `${LOOPBACK_HOST}:${nextPort++}`;
 
 async function bind(port = 0): Promise<Socket> {
   const socket = createSocket('udp4');
-  await new Promise<void>(done => socket.bind(port, '127.0.0.1', done));
+  await new Promise<void>(done => socket.bind(port, LOOPBACK_HOST, done));
   return socket;
 }
 
-async function createFleetHosts(count: number): Promise<FleetHost[]> {
-  const hosts = await Promise.all(
-    Array.from({length: count}, async (_, n) => ({
-      id: id<HostId>(`h${n}`),
-      address: await freeAddress(),
-      failureDomain: DOMAIN,
-      cores: 1,
-    })),
-  );
+function createFleetHosts(count: number): FleetHost[] {
+  const hosts = Array.from({length: count}, (_, n) => ({
+    id: id<HostId>(`h${n}`),
+    address: freeAddress(),
+    failureDomain: DOMAIN,
+    cores: 1,
+  }));
   return rankCoordinators(DOMAIN, hosts);
 }
 
@@ -137,7 +133,7 @@
 }
 
 test('coordination: the coordinator knows the load of a granted path until it ends', async () => {
-  const hosts = await createFleetHosts(3);
+  const hosts = createFleetHosts(3);
   const [first, , third] = await Promise.all(
     hosts.map(host => startHost(host, hosts)),
   );
@@ -150,7 +146,7 @@
 });
 
 test('coordination: the standby takes over with the load that it was told', async () => {
-  const hosts = await createFleetHosts(3);
+  const hosts = createFleetHosts(3);
   const [first, second, third] = await Promise.all(
     hosts.map(host => startHost(host, hosts)),
   );
@@ -166,7 +162,7 @@
 });
 
 test('coordination: without a coordinator a host serves, but retries nothing', async () => {
-  const hosts = await createFleetHosts(3);
+  const hosts = createFleetHosts(3);
   const alone = await startHost(hosts[2], hosts);
   const first = await alone.coordination.choosePath(need());
   assert.equal(first.kind, 'path');
@@ -175,7 +171,7 @@
 });
 
 test('coordination: the coordinator decides on a repair, or the host if none answers', async () => {
-  const hosts = await createFleetHosts(3);
+  const hosts = createFleetHosts(3);
   const started = await Promise.all(hosts.map(host => startHost(host, hosts)));
   const [first, second, third] = started;
   const choice = await choose(third, first);
@@ -208,7 +204,7 @@
 
 test('coordination: a standby that takes over grants only the retries that are left', async () => {
   const bounds = {extra: 40, windowMs: 2_000};
-  const hosts = await createFleetHosts(3);
+  const hosts = createFleetHosts(3);
   const [first, , third] = await Promise.all(
     hosts.map(host => startHost(host, hosts, bounds)),
   );
@@ -261,7 +257,7 @@
 }
 
 test('coordination: an answer that names an unknown endpoint is not used', async () => {
-  const hosts = await createFleetHosts(2);
+  const hosts = createFleetHosts(2);
   const stage = {endpoint: 'x', address: '127.0.0.1:9', from: 0, to: 80};
   await startGenerousCoordinator(hosts[0], stage);
   const host = await startHost(hosts[1], hosts);
@@ -278,7 +274,7 @@
 
 for (const {name, suspendedMs, kind} of SUSPENSIONS)
   test(`coordination: permission to retry after ${name}`, async () => {
-    const hosts = await createFleetHosts(2);
+    const hosts = createFleetHosts(2);
     const stage = {endpoint: 'e0', address: '127.0.0.1:1', from: 0, to: 80};
     const epochMs = Date.now.bind(Date);
     // Only the wall clock advances while a process is suspended.
@@ -306,7 +302,7 @@
 ];
 
 test('coordination: malformed datagrams are ignored', async () => {
-  const hosts = await createFleetHosts(2);
+  const hosts = createFleetHosts(2);
   const [first, second] = await Promise.all(
     hosts.map(host => startHost(host, hosts)),
   );
@@ -314,13 +310,13 @@
   open.push(stranger);
   const port = Number(first.self.address.split(':')[1]);
   for (const text of MALFORMED)
-    await new Promise(done => stranger.send(text, port, '127.0.0.1', done));
+    await new Promise(done => stranger.send(text, port, LOOPBACK_HOST, done));
   const choice = await choose(second, first);
   assert.equal(choice.kind, 'path');
 });
 
 test('coordination: a host with very many paths still reports them', async () => {
-  const hosts = await createFleetHosts(2);
+  const hosts = createFleetHosts(2);
   const [first, second] = await Promise.all(
     hosts.map(host => startHost(host, hosts)),
   );
@@ -339,7 +335,7 @@
 });
 
 test('coordination: the coordinator checks what another host suspects', async () => {
-  const hosts = await createFleetHosts(3);
+  const hosts = createFleetHosts(3);
   const [first, , third] = await Promise.all(
     hosts.map(host => startHost(host, hosts)),
   );
@@ -349,7 +345,7 @@
 });
 
 test('coordination: hosts with streams on an endpoint that is down are told', async () => {
-  const hosts = await createFleetHosts(3);
+  const hosts = createFleetHosts(3);
   const [first, , third] = await Promise.all(
     hosts.map(host => startHost(host, hosts)),
   );
@@ -370,7 +366,7 @@
 }
 
 test('coordination: what crashes endpoints is known to all hosts, later ones too', async () => {
-  const hosts = await createFleetHosts(4);
+  const hosts = createFleetHosts(4);
   const present = hosts.slice(1);
   const started = await Promise.all(
     present.map(host => startHost(host, hosts)),
--- a/packages/gateway/test/cut-off.test.ts
+++ b/packages/gateway/test/cut-off.test.ts
@@ -1,6 +1,7 @@
 // Guards against the loss of requests at a host that reaches no endpoint by itself while
 // other hosts do, and against blaming the endpoints or the requests for it.
 import {id, type FailureDomain, type HostId} from '@chivewick/common';
+import {LOOPBACK_HOST} from '@chivewick/stand-ins';
 import {createFrameWriter, type TunnelHost} from '@chivewick/tunnels';
 import assert from 'node:assert/strict';
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
@@ -58,12 +59,12 @@
     });
   });
   closers.push(() => server.close());
-  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  await new Promise<void>(done => server.listen(0, LOOPBACK_HOST, done));
   const {port} = server.address() as AddressInfo;
   return {
     host: {
       id: id<HostId>('other'),
-      tunnelAddress: `127.0.0.1:${port}`,
+      tunnelAddress: `${LOOPBACK_HOST}:${port}`,
       failureDomain: id<FailureDomain>('b'),
     },
     opened: () => opened,
--- a/packages/tunnels/test/tunnels.test.ts
+++ b/packages/tunnels/test/tunnels.test.ts
@@ -7,6 +7,7 @@
   type FailureDomain,
   type HostId,
 } from '@chivewick/common';
+import {LOOPBACK_HOST} from '@chivewick/stand-ins';
 import fc from 'fast-check';
 import assert from 'node:assert/strict';
 import {
@@ -30,8 +31,8 @@
 after(() => closers.forEach(close => close()));
 
 async function listen(server: Server): Promise<string> {
-  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
-  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  await new Promise<void>(done => server.listen(0, LOOPBACK_HOST, done));
+  return `${LOOPBACK_HOST}:${(server.address() as AddressInfo).port}`;
 }
 
 /** Starts an endpoint that answers each connection in the same way. */
@@ -48,12 +49,9 @@
   return {address: await listen(server), requests};
 }
 
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  const address = await listen(server);
-  await new Promise<void>(done => server.close(() => done()));
-  return address;
-}
+/** Below the ports that the kernel gives out by itself. */
+let nextPort = 10_000;
+const freeAddress = () => `${LOOPBACK_HOST}:${nextPort++}`;
 
 async function startHost(
   name: string,
@@ -61,7 +59,7 @@
   isCutOff = false,
   isStopping = false,
 ): Promise<TunnelHost & {stop(): void}> {
-  const tunnelAddress = await freeAddress();
+  const tunnelAddress = freeAddress();
   const server = await startTunnelServer({
     address: tunnelAddress,
     isEndpoint: address => endpoints.includes(address),
@@ -131,7 +129,7 @@
   const endpoint = await startEndpoint(socket => socket.end('response'));
   const gone = {
     ...(await startHost('gone', [])),
-    tunnelAddress: await freeAddress(),
+    tunnelAddress: freeAddress(),
   };
   const cutOff = await startHost('cut', [endpoint.address], true);
   const stopping = await startHost('stop', [endpoint.address], false, true);
