Give the hosts of each system test an address of its own

Cause: the hosts of system tests listen on ports of 127.0.0.1 in one of 200 ranges, by the process id of the test; each port is tried, closed and bound by a daemon later.

Evidence: a trial of two processes of one range, each of which takes nine ports and binds them 6 s later: 9 of 9 were in use for the second one. No failure of a test was traced to it.

Change: the ports, the hosts and the forwarders are on LOOPBACK_HOST.

--- a/system/src/forwarder.ts
+++ b/system/src/forwarder.ts
@@ -1,4 +1,5 @@
 /** TCP forwarder whose connections a test can cut. */
+import {LOOPBACK_HOST} from '@chivewick/stand-ins';
 import {
   connect,
   createServer,
@@ -47,12 +48,14 @@
       socket.pipe(other);
     }
   });
-  await new Promise<void>(resolve => server.listen(port, '127.0.0.1', resolve));
+  await new Promise<void>(resolve =>
+    server.listen(port, LOOPBACK_HOST, resolve),
+  );
   // A cluster that fails to start must not keep its test process running.
   server.unref();
   const closeAll = () => sockets.forEach(socket => socket.destroy());
   return {
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    address: `${LOOPBACK_HOST}:${(server.address() as AddressInfo).port}`,
     cut() {
       isCut = true;
       closeAll();
--- a/system/src/hosts.ts
+++ b/system/src/hosts.ts
@@ -1,5 +1,6 @@
 /** Daemon processes of a cluster. */
 import {sha256} from '@chivewick/common';
+import {LOOPBACK_HOST} from '@chivewick/stand-ins';
 import {writeFile} from 'node:fs/promises';
 import {join} from 'node:path';
 import {stringify} from 'yaml';
@@ -101,7 +102,7 @@
   for (let at = 0; at < options.count; at++) {
     const [callers, operators, listen] = ports
       .slice(at * PORTS_PER_HOST)
-      .map(port => `127.0.0.1:${port}`);
+      .map(port => `${LOOPBACK_HOST}:${port}`);
     const failureDomain = DOMAINS[at % DOMAINS.length];
     const name = `${failureDomain}-${at + 1}`;
     const links: Forwarder[] = [];
--- a/system/src/ports.ts
+++ b/system/src/ports.ts
@@ -1,4 +1,5 @@
-/** Free ports on loopback. */
+/** Free ports on `LOOPBACK_HOST`. */
+import {LOOPBACK_HOST} from '@chivewick/stand-ins';
 import {createServer} from 'node:net';
 
 // Below the ephemeral port range: an outgoing connection must not be assigned a
@@ -32,6 +33,6 @@
   return new Promise(resolve => {
     const server = createServer();
     server.once('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+    server.listen(port, LOOPBACK_HOST, () => server.close(() => resolve(true)));
   });
 }
--- a/system/test/settings.test.ts
+++ b/system/test/settings.test.ts
@@ -2,6 +2,7 @@
  * Guards against a host that starts with invalid settings, or that does not report
  * the file, line and key of the error.
  */
+import {LOOPBACK_HOST} from '@chivewick/stand-ins';
 import {createProcessGroup, freePorts} from '@chivewick/system';
 import assert from 'node:assert/strict';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
@@ -17,17 +18,17 @@
 host: nav-a-1
 failureDomain: nav-a
 callers:
-  listen: 127.0.0.1:${port}
+  listen: ${LOOPBACK_HOST}:${port}
 operators:
-  listen: 127.0.0.1:${port + 1}
+  listen: ${LOOPBACK_HOST}:${port + 1}
   keys:
     - {name: maria, sha256: ${DIGEST}}
 peers:
-  listen: 127.0.0.1:${port + 2}
+  listen: ${LOOPBACK_HOST}:${port + 2}
   secret: secret-of-the-hosts
 platform:
-  objectApi: 127.0.0.1:${port + 3}
-  hostList: 127.0.0.1:${port + 4}
+  objectApi: ${LOOPBACK_HOST}:${port + 3}
+  hostList: ${LOOPBACK_HOST}:${port + 4}
 `;
 }
 
@@ -113,7 +114,7 @@
         let listened = false;
         const probe = setInterval(() => {
           for (const at of [port, port + 1, port + 2])
-            connect(at, '127.0.0.1')
+            connect(at, LOOPBACK_HOST)
               .on('connect', function (this: ReturnType<typeof connect>) {
                 listened = true;
                 this.destroy();
