Let the capacity bench listen where it is told to connect

Cause: the bench of many peers closed ports that the kernel had given out and bound them later; another process, or an outgoing connection, may have the port by then.

Evidence: by reading; the failure was not seen.

Change: each of the peers listens on port 0 and the hub takes its address.

--- a/bench/src/capacity-shared-state.ts
+++ b/bench/src/capacity-shared-state.ts
@@ -2,8 +2,6 @@
 import {createLedger} from '@chivewick/ledger';
 import {createLimits} from '@chivewick/limits';
 import {createPeers, type Peers} from '@chivewick/peers';
-import {once} from 'node:events';
-import {createServer, type AddressInfo} from 'node:net';
 import {cpuUs, heapOf} from './capacity-measure.js';
 import {createMemoryStore} from './capacity-store.js';
 import {grantOf, log, SELF, type Measurement} from './capacity-support.js';
@@ -84,14 +82,12 @@
 
 /** Measures connections of one host to others in the same process. */
 export async function measureConnections(size: number): Promise<Measurement> {
-  const ports = await freePorts(size);
   const others = await Promise.all(
-    ports.map((port, at) => peersOf(`peer-${at}`, port)),
+    Array.from({length: size}, (_, at) => peersOf(`peer-${at}`)),
   );
   const hub = await peersOf('hub');
   for (const other of others) other.handle('echo', params => params);
-  for (const [at, port] of ports.entries())
-    hub.setAddress(id(`peer-${at}`), `127.0.0.1:${port}`);
+  for (const other of others) hub.setAddress(other.self, other.address);
   const call = () =>
     Promise.all(
       others.map(other =>
@@ -114,22 +110,11 @@
   return {heapBytes: bytes, cpuUs: us / rounds, wireBytes};
 }
 
-async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({length: count}, () => createServer());
-  for (const server of servers) {
-    server.listen(0, '127.0.0.1');
-    await once(server, 'listening');
-  }
-  const ports = servers.map(s => (s.address() as AddressInfo).port);
-  for (const server of servers) server.close();
-  return ports;
-}
-
-function peersOf(name: string, port = 0): ReturnType<typeof createPeers> {
+function peersOf(name: string): ReturnType<typeof createPeers> {
   return createPeers({
     firm: id('diocese'),
     self: id<HostId>(name),
-    listen: `127.0.0.1:${port}`,
+    listen: '127.0.0.1:0',
     addresses: new Map(),
     secret: 'secret-of-the-capacity-bench',
   });
