Close what a gateway has opened when its start is rejected

The host program itself ends by the uncaught rejection.

Cause: startGateway binds six addresses one after the other. When one of them is rejected, the sockets, the relay and the polls before it stay open, and the caller gets nothing that it could close.

Change: startGateway keeps what it has opened and closes it before it rejects; close() does the same in the same order as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
   startTunnelServer,
   type Dialer,
   type DirectPaths,
+  type TunnelServer,
 } from '@chivewick/tunnels';
 import {setMaxListeners} from 'node:events';
 import {createServer, type Server} from 'node:http';
@@ -26,7 +27,7 @@
 } from './adopted-config.js';
 import {createCallerServer} from './caller-server.js';
 import {createCatchUp} from './catch-up.js';
-import {startCoordination} from './coordination/index.js';
+import {startCoordination, type Coordination} from './coordination/index.js';
 import {createEndpointTable, type EndpointTable} from './endpoint-table.js';
 import type {ExchangeContext} from './exchange.js';
 import type {Fleet, FleetHost} from './fleet.js';
@@ -39,7 +40,7 @@
 import {createRunCheck, keepBans} from './quarantine/index.js';
 import {recheckSuspects} from './recheck-suspects.js';
 import {createPipeUsage, HOST_AVERAGING_TIME_MS} from './pipe-usage.js';
-import {startRelay} from './relay.js';
+import {startRelay, type Relay} from './relay.js';
 import {createRetryAllowance} from './retry-allowance.js';
 import {createRouting, type Routing} from './routing.js';
 import type {
@@ -49,7 +50,7 @@
   HostBounds,
   RoutingConfig,
 } from './types.js';
-import {createUpstream} from './upstream.js';
+import {createUpstream, type Upstream} from './upstream.js';
 
 /**
  * Duration of a long poll for the configuration. Each response confirms the keys,
@@ -125,22 +126,60 @@
 
 /**
  * Starts a gateway: watches the configuration and the endpoints in the store and
- * serves callers. Rejects if an address cannot be bound.
+ * serves callers. Rejects if an address cannot be bound, and then keeps nothing open.
  *
  * @example
  * const gateway = await startGateway({host, addresses, bounds, feed, dialect, control, log, ...});
  */
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
+  const {paths} = options;
+  const parts: Parts = {closing: new AbortController(), paths, servers: []};
+  try {
+    return await startParts(options, parts);
+  } catch (err) {
+    await closeParts(parts);
+    throw err;
+  }
+}
+
+/** What a gateway has opened so far. */
+interface Parts {
+  readonly closing: AbortController;
+  readonly paths: DirectPaths;
+  readonly servers: Server[];
+  upstream?: Upstream;
+  coordination?: Coordination;
+  relay?: Relay;
+  tunnels?: TunnelServer;
+}
+
+async function closeParts(parts: Parts): Promise<void> {
+  if (parts.closing.signal.aborted) return;
+  parts.closing.abort();
+  parts.coordination?.close();
+  parts.paths.close();
+  parts.tunnels?.close();
+  for (const server of parts.servers) {
+    server.close();
+    server.closeAllConnections();
+  }
+  await Promise.all([parts.upstream?.close(), parts.relay?.close()]);
+}
+
+async function startParts(
+  options: GatewayOptions,
+  parts: Parts,
+): Promise<Gateway> {
   const {log, kinds} = options;
   const table = createEndpointTable(log, () => options.bounds().drainMs);
   const freshness = createFreshness();
   const metrics = createGatewayMetrics();
-  const closing = new AbortController();
+  const {closing} = parts;
   const givingUp = new AbortController();
   // Each request in progress has a listener.
   setMaxListeners(0, givingUp.signal);
   const {dialer, paths} = options;
-  const upstream = createUpstream(dialer);
+  const upstream = (parts.upstream = createUpstream(dialer));
   let routing: Routing | undefined;
   let adopted: AdoptedConfig | undefined;
 
@@ -165,7 +204,7 @@
     current: () => routing?.config.version,
     fetch: fetchConfig,
   });
-  const coordination = await startCoordination({
+  const coordination = (parts.coordination = await startCoordination({
     self: options.self,
     fleet,
     table,
@@ -180,7 +219,7 @@
     onEvidence: () => savedBans?.changed(),
     onConfigVersion: (host, version) => catchUp.heard(host, version),
     verify: state => suspects.verify(state),
-  });
+  }));
   const savedBans =
     options.savedBans &&
     keepBans({
@@ -189,7 +228,7 @@
       isWriter: () => coordination.ranks.isCoordinator(),
       signal: closing.signal,
     });
-  const unsubscribeLost = paths.onLost(table.clearFailures);
+  closing.signal.addEventListener('abort', paths.onLost(table.clearFailures));
   /** A host that is cut off gets reports too late; another host knows. */
   const isDown = async (address: string) =>
     !paths.expectsLoss() || dialer.isDown(address);
@@ -220,7 +259,7 @@
     fence: options.fence,
   };
 
-  const relay = await startRelay({
+  const relay = (parts.relay = await startRelay({
     self: options.self,
     store: options.feed,
     role: () => coordination.ranks.readerRole(),
@@ -232,7 +271,7 @@
     adopted: () => adopted?.object,
     metrics,
     log,
-  });
+  }));
   const {feed} = relay;
   const configFollower = followKind({
     kind: kinds.config,
@@ -290,7 +329,7 @@
   });
   const gracefulStop = createGracefulStop({
     callers,
-    tunnels: () => tunnels?.running() ?? 0,
+    tunnels: () => parts.tunnels?.running() ?? 0,
     bounds: options.bounds,
     giveUp: () => givingUp.abort(),
     log,
@@ -299,17 +338,17 @@
     res.statusCode = isReady() ? 200 : 503;
     res.end();
   });
-  const servers = [callers.server, readiness];
+  parts.servers.push(callers.server, readiness);
   await listen(callers.server, options.addresses.callers);
   await listen(readiness, options.addresses.readiness);
   if (options.addresses.metrics !== undefined) {
     const metricsServer = createServer((_req, res) => {
       void metrics.registry.metrics().then(text => res.end(text));
     });
-    servers.push(metricsServer);
+    parts.servers.push(metricsServer);
     await listen(metricsServer, options.addresses.metrics);
   }
-  const tunnels =
+  parts.tunnels =
     options.addresses.tunnels === undefined
       ? undefined
       : await startTunnelServer({
@@ -385,20 +424,6 @@
       putInEffect(found.value, config, host);
   }
 
-  async function close(): Promise<void> {
-    if (closing.signal.aborted) return;
-    closing.abort();
-    coordination.close();
-    unsubscribeLost();
-    paths.close();
-    tunnels?.close();
-    for (const server of servers) {
-      server.close();
-      server.closeAllConnections();
-    }
-    await Promise.all([upstream.close(), relay.close()]);
-  }
-
   return {
     table,
     config: () => routing?.config,
@@ -406,9 +431,9 @@
     isCoordinator: () => coordination.ranks.isCandidate(),
     async stop() {
       await gracefulStop.run();
-      await close();
+      await closeParts(parts);
     },
-    close,
+    close: () => closeParts(parts),
   };
 }
 
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -427,6 +427,8 @@
   name?: string;
   /** Other hosts of the fleet. */
   others?: readonly FleetHost[];
+  /** Addresses in place of free ones. */
+  addresses?: {readonly peers?: string; readonly tunnels?: string};
 }) {
   const store = createFakeFeed();
   const [callers, readiness, metrics, tunnels, peers] = await Promise.all([
@@ -443,7 +445,7 @@
   const random = createRandom();
   const self: FleetHost = {
     id: id<HostId>(options.name ?? 'host-1'),
-    address: `127.0.0.1:${peers}`,
+    address: options.addresses?.peers ?? `127.0.0.1:${peers}`,
     failureDomain: id<FailureDomain>('a'),
     cores: 1,
   };
@@ -462,9 +464,9 @@
     addresses: {
       callers: `127.0.0.1:${callers}`,
       readiness: `127.0.0.1:${readiness}`,
-      peers: `127.0.0.1:${peers}`,
+      peers: self.address,
       metrics: `127.0.0.1:${metrics}`,
-      tunnels: `127.0.0.1:${tunnels}`,
+      tunnels: options.addresses?.tunnels ?? `127.0.0.1:${tunnels}`,
     },
     bounds: () => ({...BOUNDS, ...options.bounds}),
     feed: store.feed,
