Keep the limits of tunnels out of the tests of broken responses

What was seen: in one run of the units beside load 27 on 8 cores, "field name for a request that is repeated, over another host, bytes" got 502 with the reason of the broken response in place of the sound one.

Cause: host, tunnel host, endpoints and callers of this test share one process. When the process does not run for 100 ms, the tunnel host counts as out of reach; the send counts as refused, the request has then tried all of its three endpoints, and fails with the reason of the send before.

Tests of the tunnels keep the defaults. What is expected of the responses is unchanged.

--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -22,6 +22,7 @@
 import {
   createDialer,
   createDirectPaths,
+  type DialLimits,
   type TunnelHost,
 } from '@chivewick/tunnels';
 import {createSocket} from 'node:dgram';
@@ -420,6 +421,7 @@
   tunnelHosts?: readonly TunnelHost[];
   /** Opens connections to endpoints; this host is cut off if it rejects. */
   openDirect?: () => Promise<never>;
+  dialLimits?: DialLimits;
   config?: RoutingConfig;
   records?: readonly EndpointRecord[];
   bounds?: Partial<HostBounds>;
@@ -459,6 +461,7 @@
       paths,
       random,
       openDirect: options.openDirect,
+      limits: options.dialLimits,
     }),
     self,
     addresses: {
--- a/packages/tunnels/src/dialer.ts
+++ b/packages/tunnels/src/dialer.ts
@@ -8,24 +8,35 @@
 import {createResetSafeStream, type Connection} from './reset-safe-stream.js';
 import {openSocket} from './sockets.js';
 
-/** Opening a connection within the same region takes a few milliseconds. */
-const CONNECT_TIMEOUT_MS = 300;
 /** Time without an answer after which another host tries at the same time. */
 const HEAD_START_MS = 30;
-/** A host of the same region accepts a connection within a few milliseconds. */
-const HOST_CONNECT_TIMEOUT_MS = 100;
-/** Another host takes its own connect timeout at most. */
-const REPLY_TIMEOUT_MS = 200;
 /** Hosts that are tried for one connection; callers wait for it. */
 const MAX_HOSTS_TRIED = 4;
-/**
- * Time after which no further host is tried: the deadline that a request states is as
- * of the moment before the connection is opened.
- */
-const MAX_TRYING_MS = 250;
 /** Time for which a host comes last that does not respond or is cut off too. */
 const AVOIDED_MS = 2_000;
 
+/** Times, in milliseconds, after which an attempt to open a connection has failed. */
+export interface DialLimits {
+  /** Opening a connection within the same region takes a few milliseconds. */
+  readonly connectMs: number;
+  /** A host of the same region accepts a connection within a few milliseconds. */
+  readonly hostConnectMs: number;
+  /** Another host takes its own connect timeout at most. */
+  readonly replyMs: number;
+  /**
+   * No further host is tried after it: the deadline that a request states is as of the
+   * moment before the connection is opened.
+   */
+  readonly tryingMs: number;
+}
+
+const DEFAULT_LIMITS: DialLimits = {
+  connectMs: 300,
+  hostConnectMs: 100,
+  replyMs: 200,
+  tryingMs: 250,
+};
+
 /** A host that opens tunnels for others. */
 export interface TunnelHost {
   readonly id: HostId;
@@ -76,13 +87,15 @@
   readonly paths: DirectPaths;
   readonly random: Random;
   readonly openDirect?: typeof openSocket;
+  readonly limits?: DialLimits;
 }): Dialer {
   const {paths, random, failureDomain, openDirect = openSocket} = options;
+  const limits = options.limits ?? DEFAULT_LIMITS;
   const avoidedUntilMs = new Map<HostId, number>();
 
   async function open(address: string): Promise<Connection> {
     const openDirectly = async () => ({
-      socket: await openDirect(address, CONNECT_TIMEOUT_MS),
+      socket: await openDirect(address, limits.connectMs),
     });
     if (options.hosts().length === 0) return openDirectly();
     if (paths.isLost(address)) return openTunnel(address);
@@ -120,7 +133,7 @@
   }
 
   async function openTunnel(address: string): Promise<Connection> {
-    const untilMs = performance.now() + MAX_TRYING_MS;
+    const untilMs = performance.now() + limits.tryingMs;
     let verdict: Error | undefined;
     for (const host of hostsToTry()) {
       if (performance.now() > untilMs) break;
@@ -150,9 +163,9 @@
   ): Promise<{socket?: Socket; reply?: string}> {
     let socket: Socket | undefined;
     try {
-      socket = await openSocket(tunnelAddress, HOST_CONNECT_TIMEOUT_MS);
+      socket = await openSocket(tunnelAddress, limits.hostConnectMs);
       socket.write(formatRequest(address));
-      return {socket, reply: await readLine(socket, REPLY_TIMEOUT_MS)};
+      return {socket, reply: await readLine(socket, limits.replyMs)};
     } catch {
       // The next host is tried.
       return {socket};
--- a/packages/tunnels/src/tunnel-server.ts
+++ b/packages/tunnels/src/tunnel-server.ts
@@ -10,7 +10,7 @@
 /** A host sends the line as soon as it is connected. */
 const REQUEST_TIMEOUT_MS = 1_000;
 /** Opening a connection within the same region takes a few milliseconds. */
-const CONNECT_TIMEOUT_MS = 150;
+const DEFAULT_CONNECT_MS = 150;
 /** Far more than the streams of one failure domain; bounds the descriptors. */
 const MAX_TUNNELS = 800;
 
@@ -28,6 +28,7 @@
  *
  * @param options.address `ip:port` to listen on.
  * @param options.isStopping whether this host opens no tunnels any more.
+ * @param options.connectMs time in which an endpoint must accept a connection.
  * @example
  * const server = await startTunnelServer({address, isEndpoint, isStopping, paths});
  */
@@ -36,8 +37,10 @@
   readonly isEndpoint: (address: string) => boolean;
   readonly isStopping: () => boolean;
   readonly paths: Pick<DirectPaths, 'isLost' | 'expectsLoss'>;
+  readonly connectMs?: number;
 }): Promise<TunnelServer> {
   const {isEndpoint, isStopping, paths} = options;
+  const {connectMs = DEFAULT_CONNECT_MS} = options;
   const clients = new Set<Socket>();
   const server = createServer({noDelay: true}, client => {
     clients.add(client);
@@ -54,7 +57,7 @@
       // An endpoint that this host has not heard of yet may well be up.
       const isKnown = target !== undefined && isEndpoint(target);
       if (!isKnown || paths.isLost(target)) return reject(client, 'unknown');
-      join(client, await openSocket(target, CONNECT_TIMEOUT_MS));
+      join(client, await openSocket(target, connectMs));
     } catch (err) {
       // The reply tells the other host, which logs what becomes of its request.
       const isRefusal = (err as NodeJS.ErrnoException).code === 'ECONNREFUSED';
