End a suspicion on all hosts once its coordinator no longer lists it

Cause: a suspicion was passed on without its age. Each host that heard of one kept it for 2.5 s from the last report: first the coordinators of other failure domains, then the hosts of these domains, so that it lasted up to 5 s after the coordinator that checks the endpoint had got an answer.

Change: the table keeps which coordinator's summary a suspicion came from. It ends with the first summary of that coordinator that does not list the endpoint. What a host finds by itself lasts as before; messages between hosts are unchanged.

--- a/packages/gateway/src/coordination/coordination.ts
+++ b/packages/gateway/src/coordination/coordination.ts
@@ -42,6 +42,7 @@
 import {createDomainRetries} from './domain-retries.js';
 import {
   applyDomainSummary,
+  applySuspicions,
   createDomainSummary,
   suspectReported,
 } from './domain-summary.js';
@@ -231,7 +232,7 @@
       seeHolder(value.holderSeenMsAgo);
       hearConfig(value.from, value.configVersion);
       coordinator.remote.replace(value.from, value);
-      for (const endpoint of value.suspected) suspectReported(table, endpoint);
+      applySuspicions(table, value);
     },
     [METHODS.suspected](params) {
       coordinator.avoid(parseSuspected(params)?.endpoints ?? []);
--- a/packages/gateway/src/coordination/domain-summary.ts
+++ b/packages/gateway/src/coordination/domain-summary.ts
@@ -71,14 +71,30 @@
     state.othersStarting = Math.max(0, (load.starting ?? 0) - state.starting);
     state.othersTokenLayers = Math.max(0, othersHeld);
   }
-  for (const endpoint of summary.suspected) suspectReported(table, endpoint);
+  applySuspicions(table, summary);
+}
+
+/**
+ * Suspects the endpoints that a coordinator lists, and no longer those that it has listed
+ * before: it has found that they respond.
+ */
+export function applySuspicions(
+  table: EndpointTable,
+  {from, suspected}: Pick<DomainSummary, 'from' | 'suspected'>,
+): void {
+  const listed = new Set(suspected);
+  for (const state of table.all())
+    if (state.suspectedBy === from && !listed.has(state.record.id))
+      table.clearSuspicion(state);
+  for (const endpoint of listed) suspectReported(table, endpoint, from);
 }
 
 /** Suspects an endpoint that a coordinator found down. */
 export function suspectReported(
   table: EndpointTable,
   endpoint: EndpointId,
+  by?: HostId,
 ): void {
   const state = table.get(endpoint);
-  if (state !== undefined) table.suspect(state, 'reported by coordinator');
+  if (state !== undefined) table.suspect(state, 'reported by coordinator', by);
 }
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -1,6 +1,7 @@
 import type {
   EndpointId,
   FailureDomain,
+  HostId,
   Logger,
   ServiceName,
 } from '@chivewick/common';
@@ -53,6 +54,8 @@
   latencyMs: number;
   consecutiveFailures: number;
   suspectedUntilMs: number;
+  /** The coordinator whose summaries list it as suspected; unset if this host does by itself. */
+  suspectedBy?: HostId;
   /** Avoided until this time, after it refused a request for lack of capacity. */
   fullUntilMs: number;
   /** Factor by which it is slower than its kind, as last reported. */
@@ -89,7 +92,8 @@
   ofService(service: ServiceName): EndpointState[];
   /** Endpoints of a service that may get a new request. */
   usable(service: ServiceName): EndpointState[];
-  suspect(state: EndpointState, reason: string): void;
+  /** Suspects an endpoint, on a finding of this host or in the summary of a coordinator. */
+  suspect(state: EndpointState, reason: string, by?: HostId): void;
   /** Ends the use of an endpoint for good; a restart is another endpoint. */
   leave(state: EndpointState): void;
   /** Sends an endpoint nothing for a while, as it has asked. */
@@ -278,9 +282,10 @@
         state =>
           acceptsRequests(state, now()) && state.suspectedUntilMs <= now(),
       ),
-    suspect(state, reason) {
+    suspect(state, reason, by) {
       const isSuspected = state.suspectedUntilMs > now();
       state.suspectedUntilMs = now() + SUSPICION_MS;
+      state.suspectedBy = by;
       if (isSuspected) return;
       log.event('endpointSuspected', {
         endpoint: state.record.id,
@@ -316,6 +321,7 @@
     },
     clearSuspicion(state) {
       state.suspectedUntilMs = 0;
+      state.suspectedBy = undefined;
     },
     clearFailures(address) {
       for (const state of states.values()) {
--- a/packages/gateway/test/coordination.test.ts
+++ b/packages/gateway/test/coordination.test.ts
@@ -50,14 +50,14 @@
   return socket;
 }
 
-function createFleetHosts(count: number): FleetHost[] {
+function createFleetHosts(count: number, failureDomain = DOMAIN): FleetHost[] {
   const hosts = Array.from({length: count}, (_, n) => ({
-    id: id<HostId>(`h${n}`),
+    id: id<HostId>(`${failureDomain}-h${n}`),
     address: freeAddress(),
-    failureDomain: DOMAIN,
+    failureDomain,
     cores: 1,
   }));
-  return rankCoordinators(DOMAIN, hosts);
+  return rankCoordinators(failureDomain, hosts);
 }
 
 /** Starts one host of a fleet, with an engine for each half of the model. */
@@ -82,7 +82,7 @@
     fleet: {
       count: () => hosts.length,
       others: () => hosts.filter(host => host.id !== self.id),
-      domains: () => [DOMAIN],
+      domains: () => [...new Set(hosts.map(host => host.failureDomain))],
       isKnown: () => true,
       ready: () => Promise.resolve(),
       add: () => {},
@@ -357,6 +357,33 @@
   );
 });
 
+// Guards against an endpoint that no host uses for seconds after it has responded again.
+test('coordination: a suspicion ends on all hosts once the coordinator that checks it is answered', async () => {
+  const [checker] = createFleetHosts(1);
+  const others = createFleetHosts(3, id<FailureDomain>('b'));
+  const all = [checker, ...others];
+  const [first, , , last] = await Promise.all(
+    all.map(host => startHost(host, all)),
+  );
+  const endpoint = id<EndpointId>('e0');
+  const isSuspected = ({table}: Host) =>
+    table.get(endpoint)!.suspectedUntilMs > performance.now();
+  const askAll = () =>
+    void [first, last].map(host => host.coordination.choosePath(need()));
+  first.table.suspect(first.table.get(endpoint)!, 'test');
+  await until(() => {
+    askAll();
+    return isSuspected(last);
+  });
+  first.table.clearSuspicion(first.table.get(endpoint)!);
+  await until(() => {
+    askAll();
+    return !isSuspected(last);
+  });
+  // One that has only expired keeps its time.
+  assert.equal(last.table.get(endpoint)!.suspectedUntilMs, 0);
+});
+
 /** A request with a part that crashes endpoints. */
 function deadly(body: string): SuspectExchange {
   const service = config().services.get(MODEL)!;
