Stop using removed endpoints that a host learns of late

Callers' requests reached an endpoint up to 2.3 s after the store had acknowledged that it was gone (DRAIN, drainMs 2 s), from hosts in touch.

Cause: after a failed call a host keeps an endpoint whose entry is missing for drainMs less 1 s, as the entry may have expired in an outage of the store. The 1 s stands for the time until the host learns of a removal. If the host that it reads through is cut off from the store, it learns of it up to 1.5 s late, and uses the endpoint 1 s longer. A bound was counted from the moment at which something is learned, not from the first at which it may have been true.

Change: endpoints are followed in a module of its own, which counts from the last confirmation of the contents.

--- a/packages/feed-relay/src/relayed-feed.ts
+++ b/packages/feed-relay/src/relayed-feed.ts
@@ -82,6 +82,11 @@
   readonly feed: ObjectFeed;
   /** Answers other hosts from what this host knows. */
   readonly service: RelayService;
+  /**
+   * Start of this host's last call to the store for a kind that failed, by
+   * `performance.now()`; undefined if none has.
+   */
+  readonly failedAtMs: (kind: string) => number | undefined;
 }
 
 /** Where a host gets the changes from. */
@@ -134,8 +139,8 @@
   const {store, client, role, clocks = RUNTIME_CLOCKS} = options;
   const logs = new Map<string, ChangeLog>();
   const skipped = new Map<HostId, {untilMs: number; backoffMs: number}>();
-  /** Start of the last call to the store by kind, if that call failed. */
-  const failedCallAtMs = new Map<string, number>();
+  /** The last call to the store by kind that failed, and whether one has succeeded since. */
+  const failedCalls = new Map<string, {atMs: number; isOver: boolean}>();
 
   function logOf(kind: string): ChangeLog {
     let log = logs.get(kind);
@@ -165,14 +170,19 @@
     });
   }
 
-  const mustSpareStore = (kind: string) =>
-    role().sources.length > 0 &&
-    clocks.monotonicMs() - (failedCallAtMs.get(kind) ?? -Infinity) <
-      STORE_RETRY_MS;
+  function mustSpareStore(kind: string): boolean {
+    const failed = failedCalls.get(kind);
+    return (
+      role().sources.length > 0 &&
+      failed?.isOver === false &&
+      clocks.monotonicMs() - failed.atMs < STORE_RETRY_MS
+    );
+  }
 
   function recordCall(kind: string, startMs: number, succeeded: boolean): void {
-    if (succeeded) failedCallAtMs.delete(kind);
-    else failedCallAtMs.set(kind, startMs);
+    const failed = failedCalls.get(kind);
+    if (!succeeded) failedCalls.set(kind, {atMs: startMs, isOver: false});
+    else if (failed !== undefined) failed.isOver = true;
   }
 
   const storePollMs = () => STORE_POLL_FRACTION * options.effectMs();
@@ -290,6 +300,7 @@
 
   return {
     feed: {listKind, changes},
+    failedAtMs: kind => failedCalls.get(kind)?.atMs,
     service: {
       list({kind}) {
         const listing = logs.get(kind)?.listing();
--- a/packages/gateway/src/endpoint-table.ts
+++ b/packages/gateway/src/endpoint-table.ts
@@ -76,11 +76,20 @@
 
 /** The registered endpoints with their load and health. */
 export interface EndpointTable {
-  /** Takes over a listing that was read at a version of the store. */
-  replaceAll(records: readonly EndpointRecord[], version: number): void;
+  /**
+   * Takes over a listing that was read at a version of the store.
+   *
+   * @param usableUntilMs time after which an endpoint that is missing gets no request,
+   *     though its entry may merely have expired.
+   */
+  replaceAll(
+    records: readonly EndpointRecord[],
+    version: number,
+    usableUntilMs?: number,
+  ): void;
   upsert(record: EndpointRecord): void;
-  /** Takes over the removal of an entry at a version of the store. */
-  remove(id: EndpointId, version: number): void;
+  /** Takes over the removal of an entry at a version of the store; as `replaceAll`. */
+  remove(id: EndpointId, version: number, usableUntilMs?: number): void;
   /** Records a failed call to the store; entries may expire during an outage. */
   storeUnavailable(): void;
   /** Name of the failure domain with an index. */
@@ -207,14 +216,23 @@
     });
   }
 
-  function remove(id: EndpointId, version: number): void {
+  function remove(
+    id: EndpointId,
+    version: number,
+    usableUntilMs = Infinity,
+  ): void {
     history.drop(id);
     const state = states.get(id);
     if (state === undefined) return;
     const mayHaveExpired =
       state.record.state === 'ready' && now() - outageAtMs < OUTAGE_EXPIRY_MS;
-    if (!mayHaveExpired) return drop(state, 'entry removed', version);
-    retain(state, Math.max(0, drainMs() - REMOVAL_NOTICE_MS), version);
+    const untilMs = Math.min(
+      now() + drainMs() - REMOVAL_NOTICE_MS,
+      usableUntilMs,
+    );
+    if (!mayHaveExpired || untilMs <= now())
+      return drop(state, 'entry removed', version);
+    retain(state, untilMs - now(), version);
   }
 
   function retain(state: EndpointState, forMs: number, version: number): void {
@@ -251,7 +269,7 @@
   }
 
   return {
-    replaceAll(records, version) {
+    replaceAll(records, version, usableUntilMs) {
       const listed = new Set(records.map(record => record.id));
       const isRestored = history.listed(listed, version);
       for (const state of [...states.values()]) {
@@ -261,7 +279,7 @@
         // The copy may be from before the endpoint started.
         if (isRestored && reported === 'ready')
           retain(state, RESTORE_GRACE_MS, version);
-        else remove(id, version);
+        else remove(id, version, usableUntilMs);
       }
       for (const record of records) upsert(record);
     },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,12 +1,10 @@
 import {
   bindWithRetry,
   createRandom,
-  type EndpointId,
   type HostId,
   type Logger,
 } from '@chivewick/common';
 import {
-  nameOfKey,
   type ObjectFeed,
   type ObjectStore,
   type StoredObject,
@@ -32,6 +30,7 @@
 import type {ExchangeContext} from './exchange.js';
 import type {Fleet, FleetHost} from './fleet.js';
 import {createGracefulStop} from './graceful-stop.js';
+import {followEndpoints} from './follow-endpoints.js';
 import {followKind} from './follow-kind.js';
 import {createFreshness} from './freshness.js';
 import {createRequestHandler} from './handle-request.js';
@@ -58,13 +57,6 @@
  * last confirmation; two consecutive polls may fail within that bound.
  */
 const CONFIG_POLL_MS = 2_000;
-/**
- * Duration of a long poll for endpoints. A stalled connection must be detected within
- * the 3 s after the last failed call, during which a removed entry may have expired.
- */
-const ENDPOINT_POLL_MS = 2_000;
-/** Time over which endpoint changes are batched; well below the drain bound. */
-const BATCH_MS = 200;
 /**
  * Fraction of the revocation bound after which an unconfirmed host reports that it
  * is not ready: the load balancer takes two seconds to remove it, and after that
@@ -288,27 +280,17 @@
       }),
     onPoll: () => freshness.poll(),
   });
-  followKind({
+  followEndpoints({
     kind: kinds.endpoints,
     feed,
+    failedAtMs: relay.failedAtMs,
+    table,
+    drainMs: () => options.bounds().drainMs,
+    read: readEndpoint,
+    onChanged: () => coordination.quarantine.endpointsChanged(),
     after: fleet.ready(),
     log,
     signal: closing.signal,
-    waitMs: ENDPOINT_POLL_MS,
-    batchMs: BATCH_MS,
-    onListing({objects, version}) {
-      table.replaceAll(objects.flatMap(readEndpoint), version);
-      coordination.quarantine.endpointsChanged();
-    },
-    onChanges: changes => {
-      for (const change of changes) {
-        if (change.value === undefined)
-          table.remove(nameOfKey(change.key) as EndpointId, change.version);
-        else readEndpoint(change as StoredObject).forEach(table.upsert);
-      }
-      coordination.quarantine.endpointsChanged();
-    },
-    onUnavailable: () => table.storeUnavailable(),
   });
 
   table.onSuspected(() => metrics.suspected.inc());
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -9,6 +9,7 @@
 import {
   createRelayedFeed,
   type RelayClient,
+  type RelayedFeed,
   type RelayRole,
   type RelayService,
 } from '@chivewick/feed-relay';
@@ -42,6 +43,8 @@
 /** A feed that is read through another host of the failure domain. */
 export interface Relay {
   readonly feed: ObjectFeed;
+  /** Start of this host's last call to the store for a kind that failed, if any did. */
+  readonly failedAtMs: RelayedFeed['failedAtMs'];
   /** The configuration that another host has in effect. */
   adoptedBy(host: HostId): Promise<Result<StoredObject>>;
   close(): Promise<void>;
@@ -83,7 +86,7 @@
     changes: (host, params, timeoutMs) =>
       peers.call(host, METHODS.changes, params, {timeoutMs}),
   };
-  const {feed, service} = createRelayedFeed({
+  const {feed, service, failedAtMs} = createRelayedFeed({
     store,
     client,
     effectMs: options.effectMs,
@@ -128,7 +131,7 @@
       : fail('endpoint_failed', 'invalid configuration');
   }
 
-  return {feed, adoptedBy, close: () => peers.close()};
+  return {feed, failedAtMs, adoptedBy, close: () => peers.close()};
 }
 
 function isObject(value: Partial<StoredObject> | null): boolean {
