Bind the hosts of the gateway's tests at the address of their process

Cause: the harness tried a port of 127.0.0.1, closed it, and let a host bind it later.

Evidence: by reading; no failure was traced to it since the ranges exist.

Change: freePort() counts up on LOOPBACK_HOST, which no other process binds, so that no port is tried first.

--- a/packages/gateway/test/broken-responses.test.ts
+++ b/packages/gateway/test/broken-responses.test.ts
@@ -7,6 +7,7 @@
   type ServiceName,
 } from '@chivewick/common';
 import {
+  LOOPBACK_HOST,
   brokenResponses,
   soundResponses,
   writeResponse,
@@ -250,7 +251,7 @@
 async function startTunnelHost(
   addresses: ReadonlySet<string>,
 ): Promise<TunnelHost> {
-  const tunnelAddress = `127.0.0.1:${await freePort()}`;
+  const tunnelAddress = `${LOOPBACK_HOST}:${freePort()}`;
   const server = await startTunnelServer({
     address: tunnelAddress,
     isEndpoint: address => addresses.has(address),
--- a/packages/gateway/test/callers.test.ts
+++ b/packages/gateway/test/callers.test.ts
@@ -1,6 +1,7 @@
 // Guards against callers whose input is too long, too slow or not HTTP: it must get
 // an error response, must not reach an endpoint, and must not affect other requests.
 import {id, type WorkspaceId} from '@chivewick/common';
+import {LOOPBACK_HOST} from '@chivewick/stand-ins';
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
@@ -51,7 +52,7 @@
   port: number,
   bytes: string,
 ): {socket: Socket; reply: Promise<string>} {
-  const socket = connect(port, '127.0.0.1');
+  const socket = connect(port, LOOPBACK_HOST);
   let text = '';
   socket.on('error', () => {});
   socket.on('data', chunk => (text += chunk.toString()));
@@ -135,7 +136,7 @@
 // The connections are checked for late heads before they are read, when a process wakes.
 test('callers: a head that this host was too slow to read is served', async () => {
   const {port, endpoint} = await startLimited();
-  const socket = connect(port, '127.0.0.1');
+  const socket = connect(port, LOOPBACK_HOST);
   await once(socket, 'connect');
   await sendRequest(port);
   const reply = new Promise<string>(done =>
@@ -163,7 +164,7 @@
   const {port, endpoint, gateway} = await startLimited((socket, head) => {
     setTimeout(() => respond('whole')(socket, head), 50);
   });
-  const socket = connect(port, '127.0.0.1');
+  const socket = connect(port, LOOPBACK_HOST);
   await once(socket, 'connect');
   await sendRequest(port);
   void gateway.stop();
--- a/packages/gateway/test/coordination.test.ts
+++ b/packages/gateway/test/coordination.test.ts
@@ -23,7 +23,7 @@
 import type {SuspectExchange} from '../src/quarantine/index.js';
 import {createPipeUsage} from '../src/pipe-usage.js';
 import {createRetryAllowance} from '../src/retry-allowance.js';
-import {config, MODEL, PROFILE, record, until} from './harness.js';
+import {config, freePort, MODEL, PROFILE, record, until} from './harness.js';
 
 const DOMAIN = id<FailureDomain>('a');
 const HALF = 40;
@@ -40,9 +40,7 @@
   readonly verified: EndpointId[];
 }
 
-/** Below the ports that the kernel gives out by itself. */
-let nextPort = 10_000;
-const freeAddress = () => `${LOOPBACK_HOST}:${nextPort++}`;
+const freeAddress = () => `${LOOPBACK_HOST}:${freePort()}`;
 
 async function bind(port = 0): Promise<Socket> {
   const socket = createSocket('udp4');
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -25,7 +25,6 @@
   type DialLimits,
   type TunnelHost,
 } from '@chivewick/tunnels';
-import {createSocket} from 'node:dgram';
 import {request, type IncomingHttpHeaders} from 'node:http';
 import {
   connect,
@@ -344,63 +343,13 @@
 }
 
 /**
- * Below the ports that the kernel gives out by itself: one of those may go to another
- * process before the host binds it.
+ * Below the ports that the kernel gives out by itself. The first one differs between files
+ * that run at the same time, which share an address elsewhere than on Linux.
  */
-const FIRST_PORT = 10_000;
-/** Over five for each test of a file, whose hosts close at its end. */
-const PORTS_PER_FILE = 2_000;
-const PORT_RANGES = 11;
-const RANGE_POLL_MS = 50;
+let nextPort = 10_000 + 2_000 * (process.pid % 11);
 
-async function listensOn(server: Server, port: number): Promise<boolean> {
-  return new Promise(done => {
-    server.once('error', () => done(false));
-    server.listen(port, '127.0.0.1', () => done(true));
-  });
-}
-
-/** Takes a range of ports until this process ends; its first port is kept bound. */
-async function takePortRange(): Promise<number> {
-  for (let attempt = process.pid; ; attempt++) {
-    const start = FIRST_PORT + (attempt % PORT_RANGES) * PORTS_PER_FILE;
-    const server = createServer();
-    if (await listensOn(server, start)) {
-      server.unref();
-      return start;
-    }
-    await new Promise(done => setTimeout(done, RANGE_POLL_MS));
-  }
-}
-
-let portRange: Promise<number> | undefined;
-let nextOffset = 0;
-
-export async function freePort(): Promise<number> {
-  portRange ??= takePortRange();
-  const start = await portRange;
-  for (;;) {
-    const port = start + 1 + (nextOffset++ % (PORTS_PER_FILE - 1));
-    const server = createServer();
-    if (!(await listensOn(server, port))) continue;
-    await new Promise<void>(done => server.close(() => done()));
-    return port;
-  }
-}
-
-/** A port that is free for both datagrams and connections. */
-async function freePeerPort(): Promise<number> {
-  for (;;) {
-    const port = await freePort();
-    const socket = createSocket('udp4');
-    const isFree = await new Promise<boolean>(done => {
-      socket.once('error', () => done(false));
-      socket.bind(port, '127.0.0.1', () => done(true));
-    });
-    if (isFree) await new Promise<void>(done => socket.close(() => done()));
-    if (isFree) return port;
-  }
-}
+/** A port of `LOOPBACK_HOST` that nothing else binds. */
+export const freePort = () => nextPort++;
 
 const NO_CONTROL: EngineControl = {
   report: () => Promise.resolve(undefined),
@@ -433,13 +382,8 @@
   addresses?: {readonly peers?: string; readonly tunnels?: string};
 }) {
   const store = createFakeFeed();
-  const [callers, readiness, metrics, tunnels, peers] = await Promise.all([
-    freePort(),
-    freePort(),
-    freePort(),
-    freePort(),
-    freePeerPort(),
-  ]);
+  const [callers, readiness, metrics] = [freePort(), freePort(), freePort()];
+  const [tunnels, peers] = [freePort(), freePort()];
   store.put('config/main', options.config ?? config());
   for (const item of options.records ?? []) {
     store.put(`endpoints/${item.id}`, item);
@@ -447,7 +391,7 @@
   const random = createRandom();
   const self: FleetHost = {
     id: id<HostId>(options.name ?? 'host-1'),
-    address: options.addresses?.peers ?? `127.0.0.1:${peers}`,
+    address: options.addresses?.peers ?? `${LOOPBACK_HOST}:${peers}`,
     failureDomain: id<FailureDomain>('a'),
     cores: 1,
   };
@@ -465,11 +409,11 @@
     }),
     self,
     addresses: {
-      callers: `127.0.0.1:${callers}`,
-      readiness: `127.0.0.1:${readiness}`,
+      callers: `${LOOPBACK_HOST}:${callers}`,
+      readiness: `${LOOPBACK_HOST}:${readiness}`,
       peers: self.address,
-      metrics: `127.0.0.1:${metrics}`,
-      tunnels: options.addresses?.tunnels ?? `127.0.0.1:${tunnels}`,
+      metrics: `${LOOPBACK_HOST}:${metrics}`,
+      tunnels: options.addresses?.tunnels ?? `${LOOPBACK_HOST}:${tunnels}`,
     },
     bounds: () => ({...BOUNDS, ...options.bounds}),
     feed: store.feed,
@@ -526,7 +470,7 @@
 
 /** Sends the head of a request and part of its body. */
 export async function sendPartialRequest(port: number): Promise<Socket> {
-  const socket = connect(port, '127.0.0.1');
+  const socket = connect(port, LOOPBACK_HOST);
   socket.on('error', () => {});
   const head =
     'POST /x HTTP/1.1\r\nhost: h\r\nrequest-id: part\r\ncontent-length: 10\r\n\r\nhalf';
@@ -547,7 +491,7 @@
   return new Promise((resolve, reject) => {
     const {path = '/x', method = 'POST', headers = {}, body} = options;
     const req = request({
-      host: '127.0.0.1',
+      host: LOOPBACK_HOST,
       port,
       path,
       method,
--- a/packages/gateway/test/stop-under-load.test.ts
+++ b/packages/gateway/test/stop-under-load.test.ts
@@ -1,6 +1,7 @@
 // Guards against requests that are cut off by a planned stop: those that arrive at its
 // end on connections that were accepted just before, and those in progress when the
 // process gets a second signal to stop.
+import {LOOPBACK_HOST} from '@chivewick/stand-ins';
 import assert from 'node:assert/strict';
 import {connect, type Socket} from 'node:net';
 import {after, test} from 'node:test';
@@ -26,7 +27,7 @@
 /** Resolves once connected; undefined if the host does not listen any more. */
 function open(port: number): Promise<Socket | undefined> {
   return new Promise(resolve => {
-    const socket = connect(port, '127.0.0.1', () => resolve(socket));
+    const socket = connect(port, LOOPBACK_HOST, () => resolve(socket));
     socket.once('error', () => resolve(undefined));
   });
 }
