Read what arrived during a pause before a time limit counts

A host that did not run for 100 to 300 ms gave up connections that endpoints had accepted and lines that other hosts had sent in time. The send counted as not run, and its endpoint as suspected for 2.5 s.

After a pause the event loop runs its timers before it reads the input of the meantime.

Change: the limits of openSocket and readLine take effect one turn of the event loop after their timers, when that input has been read.

Found by the trace of a test of broken responses beside load.

--- a/packages/tunnels/src/read-line.ts
+++ b/packages/tunnels/src/read-line.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import {splitLine} from './protocol.js';
+import {startTimeLimit} from './time-limit.js';
 
 /**
  * Reads the first line from a new connection and leaves what follows it unread. Rejects
@@ -12,7 +13,7 @@
   let bytes = Buffer.alloc(0);
   return new Promise((resolve, reject) => {
     const settle = (act: () => void) => {
-      clearTimeout(timer);
+      clearLimit();
       socket.off('readable', onReadable);
       socket.off('error', onClose);
       socket.off('close', onClose);
@@ -20,7 +21,7 @@
     };
     const fail = (reason: string) => settle(() => reject(new Error(reason)));
     const onClose = () => fail('connection closed');
-    const timer = setTimeout(() => fail('no line in time'), timeoutMs);
+    const clearLimit = startTimeLimit(() => fail('no line in time'), timeoutMs);
     function onReadable(): void {
       for (
         let chunk = socket.read() as Buffer | null;
--- a/packages/tunnels/src/sockets.ts
+++ b/packages/tunnels/src/sockets.ts
@@ -1,4 +1,5 @@
 import {connect, type Socket} from 'node:net';
+import {startTimeLimit} from './time-limit.js';
 
 /** A process of the same region accepts a connection within a few milliseconds. */
 const LISTENING_TIMEOUT_MS = 150;
@@ -23,16 +24,16 @@
       readableHighWaterMark: HIGH_WATER_MARK_BYTES,
     };
     const socket = connect(options);
-    const timer = setTimeout(
+    const clearLimit = startTimeLimit(
       () => socket.destroy(new Error('connect timeout')),
       timeoutMs,
     );
     socket.setNoDelay(true);
     // Stays in place, so that no later error is unhandled.
     socket.on('error', reject);
-    socket.once('close', () => clearTimeout(timer));
+    socket.once('close', clearLimit);
     socket.once('connect', () => {
-      clearTimeout(timer);
+      clearLimit();
       resolve(socket);
     });
   });
