Take no response with an invalid header line from a lenient parser

Cause: names and values of header lines were checked by the HTTP parser alone. The gateway forwards header lines of a stream within the event of the response, where setHeader throws, and an exception in an event ends the process. Which parser the reported process had is not known.

Change: findHeadFault checks names and values behind the parser, for final and interim heads, so that such a response is a broken one on every path: 502, or a repeat where that is allowed.

--- a/packages/common/src/http-response/response-head.ts
+++ b/packages/common/src/http-response/response-head.ts
@@ -4,6 +4,11 @@
 // eslint-disable-next-line no-control-regex -- these are the ones to find
 const CONTROLS = /[\0-\x08\x0a-\x1f\x7f]/;
 
+/** Names of header lines (RFC 9110, section 5.6.2). */
+const TOKEN = /^[\w!#$%&'*+\-.^`|~]+$/;
+/** Characters that the value of a header line may not have (RFC 9110, section 5.5). */
+const NOT_IN_VALUE = /[^\t\x20-\x7e\x80-\xff]/;
+
 /** The HTTP client of Node, which callers may use, drops the lines of a head beyond these. */
 const MAX_LINES = 1_000;
 
@@ -18,8 +23,8 @@
   readonly headers: Readonly<
     Record<string, string | readonly string[] | undefined>
   >;
-  /** Number of header lines; counted in `headers` by default. */
-  readonly lines?: number;
+  /** Header lines as they arrived, names and values in turn; those of `headers` by default. */
+  readonly rawHeaders?: readonly string[];
 }
 
 /**
@@ -35,8 +40,8 @@
   if (!isValidStatus(status)) return `status ${status}`;
   if (!VERSIONS.includes(httpVersion)) return `version ${httpVersion}`;
   if (CONTROLS.test(reason)) return 'control characters in its reason';
-  const lines = head.lines ?? Object.values(head.headers).flat().length;
-  if (lines > MAX_LINES) return `${lines} header lines`;
+  const fieldFault = findFieldFault(head);
+  if (fieldFault !== undefined) return fieldFault;
   const isEmpty = status < 200 || status === 204;
   if (isEmpty && hasContent(head)) return `content with ${status}`;
   return findCodingFault(head);
@@ -50,6 +55,28 @@
   return status >= 100 && status <= 599 && status !== 101;
 }
 
+/**
+ * Checks names and values. A parser that lets others through would end the process: Node
+ * throws where they are forwarded.
+ */
+function findFieldFault(head: ResponseHead): string | undefined {
+  const {rawHeaders = linesOf(head.headers)} = head;
+  const lines = rawHeaders.length / 2;
+  if (lines > MAX_LINES) return `${lines} header lines`;
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    if (!TOKEN.test(rawHeaders[index])) return 'an invalid header name';
+    if (NOT_IN_VALUE.test(rawHeaders[index + 1]))
+      return 'an invalid header value';
+  }
+  return undefined;
+}
+
+function linesOf(headers: ResponseHead['headers']): string[] {
+  return Object.entries(headers).flatMap(([name, value]) =>
+    [value ?? []].flat().flatMap(line => [name, line]),
+  );
+}
+
 /** Whether a head states a body, which some statuses may not have (RFC 9110, section 8.6). */
 function hasContent({headers}: ResponseHead): boolean {
   const length = headers['content-length'] ?? '0';
--- a/packages/common/src/http-response/watch-response.ts
+++ b/packages/common/src/http-response/watch-response.ts
@@ -40,27 +40,25 @@
   // An interim head has the rules of the final one.
   call.on('information', info => {
     const {statusCode: status, statusMessage: reason} = info;
-    const fault = findHeadFault({status, reason, ...fieldsOf(info)});
+    const fault = findHeadFault({...info, status, reason});
     if (fault !== undefined) reject(`interim ${fault}`);
   });
   call.once('response', res => {
     if (isBroken) return;
     const {statusCode: status = 0, statusMessage: reason = ''} = res;
-    const fault = findHeadFault({status, reason, ...fieldsOf(res)});
+    const {httpVersion, headers, rawHeaders} = res;
+    const fault = findHeadFault({
+      status,
+      reason,
+      httpVersion,
+      headers,
+      rawHeaders,
+    });
     if (fault !== undefined) return reject(fault);
     answered(res);
   });
 }
 
-function fieldsOf({
-  httpVersion,
-  headers,
-  rawHeaders,
-}: Pick<IncomingMessage, 'httpVersion' | 'headers' | 'rawHeaders'>) {
-  // Names and values alternate.
-  return {httpVersion, headers, lines: rawHeaders.length / 2};
-}
-
 /** Checks the first bytes that arrive, before the parser reads them; returns a stop. */
 function checkProtocol(socket: Socket, onFault: () => void): () => void {
   let start = '';
