Take no response that states a length beside chunks

Cause: such a response ends where the chunks do or where the length says, by its reader (RFC 9112, section 6.3).

Change: findHeadFault rejects it, as it does other broken heads.

--- a/packages/common/src/http-response/response-head.ts
+++ b/packages/common/src/http-response/response-head.ts
@@ -95,5 +95,6 @@
   if (value === undefined) return undefined;
   const coding = [value].flat().join(', ').trim().toLowerCase();
   if (coding !== 'chunked') return `transfer coding "${coding}"`;
+  if (headers['content-length'] !== undefined) return 'a length and chunks';
   return httpVersion === '1.0' ? 'chunks of HTTP/1.0' : undefined;
 }
--- a/packages/gateway/test/lenient-parser.test.ts
+++ b/packages/gateway/test/lenient-parser.test.ts
@@ -17,6 +17,7 @@
   'field name',
   'field value',
   'content length',
+  'transfer coding',
   'interim',
   'no content',
   'field lines',
