Report an exception while a response is taken over as a failed request

Cause: what the gateway does with the head of a response runs within an event of the HTTP parser, where an exception ends the process with all of its requests.

Change: watchResponse closes the connection and reports the response as broken, so that the request is answered with 502 or repeated.

Evidence: the new test of upstream.test.ts fails before (the exception is uncaught) and passes after, in 5 of 5 runs.

--- a/packages/common/src/http-response/watch-response.ts
+++ b/packages/common/src/http-response/watch-response.ts
@@ -9,7 +9,7 @@
 export interface ResponseEvents {
   /** A head without a fault has arrived; the body follows. */
   answered(res: IncomingMessage): void;
-  /** The head is broken; the connection has been closed. */
+  /** The head is broken, or `answered` has thrown; the connection has been closed. */
   broken(err: Error): void;
 }
 
@@ -55,7 +55,12 @@
       rawHeaders,
     });
     if (fault !== undefined) return reject(fault);
-    answered(res);
+    // Parsers call this, and an exception in a parser ends the process.
+    try {
+      answered(res);
+    } catch (err) {
+      reject(`a head that cannot be used (${(err as Error).message})`);
+    }
   });
 }
 
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -194,3 +194,28 @@
   assert.equal(events.length, 1);
   assert.match(events[0], /Invalid character/);
 });
+
+test('upstream: an exception while a response is taken over is reported as failed', async () => {
+  const server = createServer(socket => {
+    socket.on('error', () => {});
+    socket.once('data', () => socket.end('HTTP/1.1 200 OK\r\n\r\nwhole'));
+  });
+  servers.push(server);
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as AddressInfo;
+  const err = await new Promise<Error>(resolve => {
+    upstream.send(
+      {address: `127.0.0.1:${port}`, method: 'GET', path: '/', headers: []},
+      {
+        sent: () => {},
+        answered() {
+          throw new TypeError('invalid header');
+        },
+        data: () => assert.fail('data'),
+        ended: () => assert.fail('ended'),
+        failed: resolve,
+      },
+    );
+  });
+  assert.match(err.message, /invalid header/);
+});
