--- a/stand-ins/src/broken-responses/index.ts
+++ b/stand-ins/src/broken-responses/index.ts
@@ -4,5 +4,6 @@
   writeResponse,
   type BrokenRule,
   type Delivery,
+  type ResponseParts,
   type WrittenResponse,
 } from './broken-responses.js';
