Take no response of another protocol after an interim head

What callers saw: a response of RTSP/1.0 after a sound interim head reached them as a signed 200, on every path, and counted as a report or an outcome of an order.

Cause: Node's parser takes other protocols and does not report them. Only the first bytes of a connection were checked, which are those of the interim head.

Change: a scanner reads all heads up to the end of the final one, before the parser does, and each must begin with the protocol.

--- a/packages/common/src/http-response/watch-response.ts
+++ b/packages/common/src/http-response/watch-response.ts
@@ -1,10 +1,8 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import {createHeadScanner} from './head-scanner.js';
 import {findHeadFault} from './response-head.js';
 
-/** Begins each response; Node's parser takes other protocols too, and does not report them. */
-const PROTOCOL = 'HTTP/';
-
 /** What becomes of a request whose response is awaited. */
 export interface ResponseEvents {
   /** A head without a fault has arrived; the body follows. */
@@ -34,7 +32,7 @@
     call.destroy();
   };
   call.once('socket', socket => {
-    const stop = checkProtocol(socket, () => reject('another protocol'));
+    const stop = scanHeads(socket, reject);
     call.once('close', stop);
   });
   // An interim head has the rules of the final one.
@@ -64,17 +62,18 @@
   });
 }
 
-/** Checks the first bytes that arrive, before the parser reads them; returns a stop. */
-function checkProtocol(socket: Socket, onFault: () => void): () => void {
-  let start = '';
-  const stop = () => void socket.off('data', check);
-  function check(chunk: Buffer): void {
-    const missing = PROTOCOL.length - start.length;
-    start += chunk.toString('latin1', 0, missing);
-    if (!PROTOCOL.startsWith(start)) onFault();
-    else if (start.length < PROTOCOL.length) return;
-    stop();
+/** Scans the heads that arrive, before the parser reads them; returns a stop. */
+function scanHeads(
+  socket: Socket,
+  onFault: (fault: string) => void,
+): () => void {
+  const scanner = createHeadScanner();
+  const stop = () => void socket.off('data', scan);
+  function scan(chunk: Buffer): void {
+    const fault = scanner.scan(chunk);
+    if (fault !== undefined) onFault(fault);
+    if (fault !== undefined || scanner.isDone()) stop();
   }
-  socket.prependListener('data', check);
+  socket.prependListener('data', scan);
   return stop;
 }
--- a/stand-ins/src/broken-responses/broken-responses.ts
+++ b/stand-ins/src/broken-responses/broken-responses.ts
@@ -282,6 +282,12 @@
     ...INTERIM_HEADS.map(head =>
       broken('interim', head, `${head}\r\n\r\n${sound}`),
     ),
+    broken(
+      'interim',
+      'before RTSP/1.0',
+      'HTTP/1.1 103 Early Hints\r\nx: 1\r\n\r\n' +
+        join([`RTSP/1.0 ${code} ${reason}`], fields, [length], body),
+    ),
     broken(
       'no content',
       'a length',
