--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -99,7 +99,7 @@
           finish(() => events.ended());
         });
         response.once('error', fail);
-        events.answered(response.statusCode ?? 0, response.headers);
+        events.answered(response.statusCode ?? 0, headersOf(response));
       }
       const confirmEnd = async () => {
         if (await dialer.isRefused(options.address))
@@ -138,6 +138,24 @@
   };
 }
 
+/**
+ * Headers of a response. The values of a repeated line are a list, where Node would join
+ * them to one value that the endpoint has not sent.
+ */
+function headersOf({headers, rawHeaders}: IncomingMessage): Headers {
+  const values = new Map<string, string[]>();
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index].toLowerCase();
+    const known = values.get(name);
+    if (known === undefined) values.set(name, [rawHeaders[index + 1]]);
+    else known.push(rawHeaders[index + 1]);
+  }
+  const repeated = [...values].filter(
+    ([name, list]) => list.length > 1 && headers[name] === list.join(', '),
+  );
+  return {...headers, ...Object.fromEntries(repeated)};
+}
+
 /** Whether a response has neither a length nor chunks (RFC 9112, section 6.3). */
 function endsWithConnection({statusCode, headers}: IncomingMessage): boolean {
   if (statusCode === 204 || statusCode === 304) return false;
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -10,6 +10,7 @@
   type Socket,
 } from 'node:net';
 import {after, test} from 'node:test';
+import type {Headers} from '../src/types.js';
 import {createUpstream} from '../src/upstream.js';
 
 const servers: Server[] = [];
@@ -27,7 +28,12 @@
   await upstream.close();
 });
 
-type Result = {outcome: 'ended' | 'failed'; status: number; body: string};
+type Result = {
+  outcome: 'ended' | 'failed';
+  status: number;
+  headers: Headers;
+  body: string;
+};
 
 async function requestFrom(respond: (socket: Socket) => void): Promise<Result> {
   const server = createServer(socket => {
@@ -39,15 +45,16 @@
   const {port} = server.address() as AddressInfo;
   return new Promise(resolve => {
     let status = 0;
+    let headers: Headers = {};
     let body = '';
     upstream.send(
       {address: `127.0.0.1:${port}`, method: 'GET', path: '/', headers: []},
       {
         sent: () => {},
-        answered: answered => (status = answered),
+        answered: (...head) => ([status, headers] = head),
         data: chunk => (body += chunk.toString()),
-        ended: () => resolve({outcome: 'ended', status, body}),
-        failed: () => resolve({outcome: 'failed', status, body}),
+        ended: () => resolve({outcome: 'ended', status, headers, body}),
+        failed: () => resolve({outcome: 'failed', status, headers, body}),
       },
     );
   });
@@ -150,6 +157,22 @@
   });
 }
 
+// Joined to one value, two signatures would reach the caller as one that nobody has made.
+test('upstream: the values of a repeated header line are a list', async () => {
+  const lines = [
+    'X-Sign: a',
+    'x-sign: b',
+    'x-list: a, b',
+    'etag: 1',
+    'etag: 2',
+  ];
+  const {headers} = await requestFrom(socket =>
+    socket.end(`HTTP/1.1 200 OK\r\n${lines.join('\r\n')}\r\n\r\n`),
+  );
+  const expected = {'x-sign': ['a', 'b'], 'x-list': 'a, b', etag: '1'};
+  assert.deepEqual({...headers}, expected);
+});
+
 test('upstream: a refused connection fails before anything is sent', async () => {
   const server = createServer();
   await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
