Take the head of a response as Node reports it

All readers use Node's client now, so that no part of a head is optional any more, and findHeadFault is used by watchResponse alone.

--- a/packages/common/src/http-response/response-head.ts
+++ b/packages/common/src/http-response/response-head.ts
@@ -1,5 +1,7 @@
+import type {IncomingMessage} from 'node:http';
+
 /** Versions that are read alike (RFC 9112, section 2.3). */
-const VERSIONS: readonly (string | undefined)[] = [undefined, '1.0', '1.1'];
+const VERSIONS: readonly string[] = ['1.0', '1.1'];
 /** Characters that a reason phrase may not have (RFC 9112, section 4). */
 // eslint-disable-next-line no-control-regex -- these are the ones to find
 const CONTROLS = /[\0-\x08\x0a-\x1f\x7f]/;
@@ -9,41 +11,34 @@
 /** Characters that the value of a header line may not have (RFC 9110, section 5.5). */
 const NOT_IN_VALUE = /[^\t\x20-\x7e\x80-\xff]/;
 
-/** The HTTP client of Node, which callers may use, drops the lines of a head beyond these. */
+/** Lines of a head beyond which Node's HTTP client drops them by default. */
 const MAX_LINES = 1_000;
 
-/** The head of a response, as an HTTP parser reports it. */
-export interface ResponseHead {
-  readonly status: number;
-  /** Reason phrase. */
-  readonly reason: string;
-  /** `1.1`, for example; undefined if the parser does not report it. */
-  readonly httpVersion?: string;
-  /** Names in lower case. */
-  readonly headers: Readonly<
-    Record<string, string | readonly string[] | undefined>
-  >;
-  /** Header lines as they arrived, names and values in turn; those of `headers` by default. */
-  readonly rawHeaders?: readonly string[];
-}
+/** The head of a response, final or interim, as Node's HTTP parser reports it. */
+export type ResponseHead = Pick<
+  IncomingMessage,
+  'statusCode' | 'statusMessage' | 'httpVersion' | 'headers' | 'rawHeaders'
+>;
 
 /**
  * Returns which rule of HTTP/1.1 the head of a response breaks, undefined if none. Parsers
- * let some broken heads through, and the body after them may not be the endpoint's. The head
- * may be an interim one.
+ * let some broken heads through, and the body after them may not be the endpoint's.
  *
  * @example
- * const fault = findHeadFault({status: 0, reason: '', headers: {}}); // 'status 0'
+ * call.once('response', res => {
+ *   const fault = findHeadFault(res); // 'status 0', for example
+ * });
  */
 export function findHeadFault(head: ResponseHead): string | undefined {
-  const {status, reason, httpVersion} = head;
+  const {statusCode: status = 0, httpVersion} = head;
+  const {statusMessage: reason = ''} = head;
   if (!isValidStatus(status)) return `status ${status}`;
   if (!VERSIONS.includes(httpVersion)) return `version ${httpVersion}`;
   if (CONTROLS.test(reason)) return 'control characters in its reason';
   const fieldFault = findFieldFault(head);
   if (fieldFault !== undefined) return fieldFault;
   const isEmpty = status < 200 || status === 204;
-  if (isEmpty && hasContent(head)) return `content with ${status}`;
+  if (isEmpty && statesContent(head)) return `content with ${status}`;
   return findCodingFault(head);
 }
 
@@ -59,8 +54,7 @@
  * Checks names and values. A parser that lets others through would end the process: Node
  * throws where they are forwarded.
  */
-function findFieldFault(head: ResponseHead): string | undefined {
-  const {rawHeaders = linesOf(head.headers)} = head;
+function findFieldFault({rawHeaders}: ResponseHead): string | undefined {
   const lines = rawHeaders.length / 2;
   if (lines > MAX_LINES) return `${lines} header lines`;
   for (let index = 0; index < rawHeaders.length; index += 2) {
@@ -71,14 +65,8 @@
   return undefined;
 }
 
-function linesOf(headers: ResponseHead['headers']): string[] {
-  return Object.entries(headers).flatMap(([name, value]) =>
-    [value ?? []].flat().flatMap(line => [name, line]),
-  );
-}
-
 /** Whether a head states a body, which some statuses may not have (RFC 9110, section 8.6). */
-function hasContent({headers}: ResponseHead): boolean {
+function statesContent({headers}: ResponseHead): boolean {
   const length = headers['content-length'] ?? '0';
   return headers['transfer-encoding'] !== undefined || Number(length) !== 0;
 }
@@ -91,9 +79,8 @@
   httpVersion,
   headers,
 }: ResponseHead): string | undefined {
-  const value = headers['transfer-encoding'];
-  if (value === undefined) return undefined;
-  const coding = [value].flat().join(', ').trim().toLowerCase();
+  const coding = headers['transfer-encoding']?.trim().toLowerCase();
+  if (coding === undefined) return undefined;
   if (coding !== 'chunked') return `transfer coding "${coding}"`;
   if (headers['content-length'] !== undefined) return 'a length and chunks';
   return httpVersion === '1.0' ? 'chunks of HTTP/1.0' : undefined;
--- a/packages/common/src/http-response/watch-response.ts
+++ b/packages/common/src/http-response/watch-response.ts
@@ -37,23 +37,14 @@
   });
   // An interim head has the rules of the final one.
   call.on('information', info => {
-    const {statusCode: status, statusMessage: reason} = info;
-    const fault = findHeadFault({...info, status, reason});
+    const fault = findHeadFault(info);
     if (fault !== undefined) reject(`interim ${fault}`);
   });
   call.once('response', res => {
     if (isBroken) return;
-    const {statusCode: status = 0, statusMessage: reason = ''} = res;
-    const {httpVersion, headers, rawHeaders} = res;
-    const fault = findHeadFault({
-      status,
-      reason,
-      httpVersion,
-      headers,
-      rawHeaders,
-    });
+    const fault = findHeadFault(res);
     if (fault !== undefined) return reject(fault);
-    // Parsers call this, and an exception in a parser ends the process.
+    // An exception in an event of the parser would end the process.
     try {
       answered(res);
     } catch (err) {
