--- a/packages/engines/src/http-engine-api.ts
+++ b/packages/engines/src/http-engine-api.ts
@@ -50,8 +50,7 @@
   options: {timeoutMs?: number} = {},
 ): EngineApi & {close(): Promise<void>} {
   const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
-  // On a connection that is used again, a response that arrives late cannot be told from
-  // that of the next call.
+  // On a reused connection, a late response looks like the response to the next call.
   const agent = createDirectAgent({
     connectMs: CONNECT_TIMEOUT_MS,
     maxSockets: Infinity,
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -157,7 +157,7 @@
   });
 }
 
-// Joined to one value, two signatures would reach the caller as one that nobody has made.
+// Guards against forwarding two signatures as one joined value.
 test('upstream: the values of a repeated header line are a list', async () => {
   const lines = [
     'X-Sign: a',
--- a/packages/services/src/http-service-api.ts
+++ b/packages/services/src/http-service-api.ts
@@ -26,8 +26,8 @@
 
 /**
  * Creates the HTTP client for plain services. Each call has its own connection and is never
- * sent twice: on a connection that is used again, a response that arrives late cannot be told
- * from that of the next call. A call that fails before any byte is written is `not_sent`;
+ * sent twice: on a reused connection, a late response looks like the response to the next
+ * call. A call that fails before any byte is written is `not_sent`;
  * every later failure is `unknown`.
  *
  * @example
